Whole path as separate processes: publish, submit, one answer for a key

Cause: an empty tree. Change: workspace of seven modules, schemas with generated code, control, entry, agent and skylarklane programs kept thin. Ruled out: github.com/Shopify/toxiproxy/v2 cannot be had through the module proxy here (a dependency is refused); v2.1.4 without v2 can. Conclusion: the frame stands; the ledger, the log and placement are still stubs without any promise under failure.

--- /dev/null
+++ b/GNUmakefile
@@ -0,0 +1,51 @@
+# Targets of the project; `make help` lists them.
+
+modules := skylarklane.example/skylarklane skylarklane.example/agent skylarklane.example/control \
+	skylarklane.example/entry skylarklane.example/lib skylarklane.example/load skylarklane.example/test
+packages := $(addsuffix /...,$(modules))
+staticcheck := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: help build test format vet lint race spec process generate bench soak clean
+
+# help: list the targets.
+help:
+	@sed -n 's/^# \([a-z]*\): /\1\t/p' GNUmakefile
+
+# build: put every program into bin/.
+build:
+	go build -o bin/ ./ ./agent ./control ./entry ./load
+
+# test: everything that CI checks.
+test: format vet lint build race spec process
+
+# format: fail where a file is not formatted.
+format:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "not formatted, run gofmt -w:"; echo "$$out"; exit 1; fi
+
+# vet: the compiler's own checks.
+vet:
+	go vet $(packages)
+
+# lint: style and bugs.
+lint:
+	$(staticcheck) -checks all $(packages)
+
+# race: unit tests under the race detector.
+race:
+	go test -race $(filter-out skylarklane.example/test/%,$(packages))
+
+# spec: check the models.
+spec:
+	@if [ -x spec/check.sh ]; then spec/check.sh; fi
+
+# process: whole-program scenarios with real processes.
+process: build
+	go test -count=1 -timeout 8m skylarklane.example/test/...
+
+# generate: make lib/wire anew from the schemas.
+generate:
+	proto/generate.sh
+
+# clean: remove what was built.
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,12 @@
+// Entry runs one entry host.
+package main
+
+import (
+	"os"
+
+	"skylarklane.example/lib/entry"
+)
+
+func main() {
+	os.Exit(entry.Main(os.Args[1:], os.Stderr))
+}
--- /dev/null
+++ b/internal/cmd/error.go
@@ -0,0 +1,37 @@
+package cmd
+
+import "skylarklane.example/lib/process"
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	KindUsage Kind = iota + 1
+	KindRefused
+	KindFailed
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+func (k Kind) exitCode() int {
+	switch k {
+	case KindUsage:
+		return process.ExitUsage
+	case KindRefused:
+		return process.ExitRefused
+	default:
+		return process.ExitFailed
+	}
+}
--- /dev/null
+++ b/lib/control/main.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/settings"
+	"skylarklane.example/lib/wire"
+)
+
+// Main runs a control host from its command line and returns the exit code.
+func Main(args []string, w io.Writer) int {
+	return process.Daemon("control", "Runs one host of the control group.", args, w, serve)
+}
+
+func serve(ctx context.Context, file string, log *slog.Logger) error {
+	cfg := &wire.ControlSettings{}
+	if err := settings.Load(file, cfg); err != nil {
+		return err
+	}
+	return Run(ctx, cfg, log)
+}
+
+// Run serves as one control host until ctx ends.
+func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger) error {
+	metrics := metric.New("control")
+	defer metrics.Close()
+	listener, err := process.Listen(cfg.GetListen())
+	if err != nil {
+		return err
+	}
+	c := New(cfg, log, metrics)
+	server := process.New(listener, c.Handler(), log)
+	log.Info("Ready.", "address", server.Address())
+	c.Run(ctx)
+	return server.Shutdown(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/lib/entry/entry.go
@@ -0,0 +1,61 @@
+// Package entry is the role that takes submissions from callers, coordinates
+// their jobs and answers.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"skylarklane.example/lib/ledger"
+	"skylarklane.example/lib/membership"
+	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/wire"
+)
+
+// Entry is one entry host.
+type Entry struct {
+	follower *membership.Follower
+	ledger   *ledger.Client
+	tokens   *tokens
+	client   *http.Client
+	log      *slog.Logger
+	metrics  *metric.Registry
+	limits   *wire.EntryLimits
+}
+
+// New returns an entry.
+func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, log *slog.Logger, metrics *metric.Registry) *Entry {
+	return &Entry{
+		follower: follower,
+		ledger:   records,
+		tokens:   newTokens(follower, client),
+		client:   client,
+		log:      log,
+		metrics:  metrics,
+		limits:   limits,
+	}
+}
+
+// Run works until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	go e.tokens.loop(ctx)
+	e.follower.Run(ctx)
+}
+
+// Handler serves callers.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/services/{service}/jobs", e.submit)
+	mux.HandleFunc("GET /v1/jobs/{key}", e.show)
+	mux.Handle("/metrics", e.metrics.Handler())
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/readyz", e.ready)
+	return mux
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.follower.Current() {
+		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/lib/metric/metric.go
@@ -0,0 +1,52 @@
+// Package metric offers counters and gauges to the parts of the system, and a
+// page on which they are read.
+package metric
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often counters reach the page.
+const reportInterval = time.Second
+
+// Registry holds the metrics of one process.
+type Registry struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prometheus.Registry
+}
+
+// New returns a registry for the named part, such as "entry".
+func New(part string) *Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "skylarklane_" + part,
+		CachedReporter: reporter,
+		Separator:      tallyprom.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{scope: scope, closer: closer, registry: registry}
+}
+
+// Scope returns the root scope of the process.
+func (r *Registry) Scope() tally.Scope { return r.scope }
+
+// Handler serves the metrics page.
+func (r *Registry) Handler() http.Handler {
+	return promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})
+}
+
+// Close stops the reports.
+func (r *Registry) Close() { _ = r.closer.Close() }
--- /dev/null
+++ b/lib/process/client.go
@@ -0,0 +1,23 @@
+package process
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 90 * time.Second
+	maxIdlePerHost  = 256
+)
+
+// NewClient returns the HTTP client for calls between processes. It has no
+// timeout of its own: each call brings a context.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}}
+}
--- /dev/null
+++ b/lib/process/run.go
@@ -0,0 +1,46 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of every program.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitRefused = 3
+)
+
+// flags are the command line of a daemon.
+type flags struct {
+	Settings string `arg:"" help:"Settings file (YAML)." type:"existingfile"`
+	LogJSON  bool   `help:"Write log lines as JSON." name:"log-json"`
+}
+
+// Daemon runs the named part until a signal ends it and returns the exit code.
+// The part reads its settings file and serves until ctx ends.
+func Daemon(part, help string, args []string, w io.Writer, serve func(ctx context.Context, settings string, log *slog.Logger) error) int {
+	var f flags
+	parser, err := kong.New(&f, kong.Name(part), kong.Description(help), kong.Writers(w, w))
+	if err != nil {
+		fmt.Fprintf(w, "%s: %v\n", part, err)
+		return ExitFailed
+	}
+	if _, err := parser.Parse(args); err != nil {
+		fmt.Fprintf(w, "%s: %v\n", part, err)
+		return ExitUsage
+	}
+	ctx, cancel := SignalContext()
+	defer cancel()
+	if err := serve(ctx, f.Settings, NewLogger(w, part, f.LogJSON)); err != nil {
+		fmt.Fprintf(w, "%s: %v\n", part, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
