Split the agent and the entry along the parts that change separately

Cause: the first cut had slots, start table and backend servers in one type, and dispatching inside the submit handler.

--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -1,61 +1,47 @@
 // Package agent is the role that runs beside backend servers on a worker: they
-// announce themselves to it, and it runs tasks on them.
+// announce themselves to it, and it runs tasks on them and keeps a part of the
+// ledger.
 package agent
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
-	"sync"
-	"time"
 
+	"skylarklane.example/lib/backend"
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/slot"
+	"skylarklane.example/lib/task"
 	"skylarklane.example/lib/wire"
 )
 
-// tokenLease is how long an unused token stands.
-const tokenLease = 5 * time.Second
-
-// backendServer is one backend server that announced itself.
-type backendServer struct {
-	Service string `json:"service"`
-	URL     string `json:"url"`
-	Slots   int    `json:"slots"`
-	Leaving bool   `json:"leaving"`
-}
-
 // Agent serves one worker.
 type Agent struct {
 	follower *membership.Follower
 	replica  *ledger.Replica
-	client   *http.Client
+	book     *slot.Book
+	table    *task.Table
+	registry *backend.Registry
+	runner   *backend.Runner
 	log      *slog.Logger
 	metrics  *metric.Registry
-
-	mu      sync.Mutex
-	servers map[string]backendServer
-	tokens  map[uint64]string
-	next    uint64
-	started map[string]bool
 }
 
 // New returns an agent.
-func New(follower *membership.Follower, replica *ledger.Replica, client *http.Client, log *slog.Logger, metrics *metric.Registry) *Agent {
+func New(follower *membership.Follower, replica *ledger.Replica, runner *backend.Runner, log *slog.Logger, metrics *metric.Registry) *Agent {
+	self := follower.Member().GetIncarnation()
+	book := slot.New(self)
 	return &Agent{
 		follower: follower,
 		replica:  replica,
-		client:   client,
+		book:     book,
+		table:    task.New(self),
+		registry: backend.New(book),
+		runner:   runner,
 		log:      log,
 		metrics:  metrics,
-		servers:  map[string]backendServer{},
-		tokens:   map[uint64]string{},
-		started:  map[string]bool{},
 	}
 }
 
@@ -71,122 +57,47 @@
 
 // AnnounceHandler serves the backend servers of the worker.
 func (a *Agent) AnnounceHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /v1/backendServers/{id}", a.announce)
-	mux.HandleFunc("DELETE /v1/backendServers/{id}", a.leave)
-	return mux
-}
-
-func (a *Agent) announce(w http.ResponseWriter, r *http.Request) {
-	var server backendServer
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&server); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	id := r.PathValue("id")
-	if _, known := a.servers[id]; !known {
-		for range server.Slots {
-			a.next++
-			a.tokens[a.next] = id
-		}
-	}
-	a.servers[id] = server
-}
-
-func (a *Agent) leave(_ http.ResponseWriter, r *http.Request) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.servers, r.PathValue("id"))
+	return a.registry.Handler()
 }
 
 // Claim implements wire.Agent.
 func (a *Agent) Claim(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	reply := &wire.ClaimReply{LeaseMillis: tokenLease.Milliseconds()}
-	for number, id := range a.tokens {
-		server, known := a.servers[id]
-		if !known || server.Leaving || len(reply.Tokens) >= int(q.GetMax()) {
-			continue
-		}
-		delete(a.tokens, number)
-		reply.Tokens = append(reply.Tokens, a.token(number, id, server))
-	}
-	return reply, nil
+	return a.book.Claim(q), nil
 }
 
-// Start implements wire.Agent.
+// Start implements wire.Agent. The task goes on where the caller is lost.
 func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
-	a.mu.Lock()
-	id := q.GetJob() + "/" + strconv.Itoa(int(q.GetTask()))
-	var server backendServer
-	var serverID string
-	for key, s := range a.servers {
-		if s.Service == q.GetService() {
-			server, serverID = s, key
-		}
+	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
+	if !ok {
+		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "voidToken"}, nil
 	}
-	if a.started[id] || serverID == "" {
-		a.mu.Unlock()
-		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "noBackendServer"}, nil
+	reply := a.table.Begin(q)
+	if reply == nil {
+		reply = a.runner.Run(context.WithoutCancel(ctx), a.registry.URL(server), q)
+		a.table.End(q, reply)
 	}
-	a.started[id] = true
-	a.mu.Unlock()
-	reply := a.run(ctx, server, q)
-	reply.Token = a.token(q.GetToken(), serverID, server)
+	reply.Token = a.book.Return(q.GetCoordinator(), q.GetToken())
 	return reply, nil
 }
 
-func (a *Agent) token(number uint64, id string, server backendServer) *wire.Token {
-	return &wire.Token{
-		Agent:         a.follower.Member().GetIncarnation(),
-		BackendServer: id,
-		Service:       server.Service,
-		Number:        number,
-		LeaseMillis:   tokenLease.Milliseconds(),
-	}
-}
-
-func (a *Agent) run(ctx context.Context, server backendServer, q *wire.StartRequest) *wire.StartReply {
-	begin := time.Now()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, bytes.NewReader(q.GetPayload()))
-	if err != nil {
-		return &wire.StartReply{State: wire.TaskState_TASK_STATE_FAILED, Reason: "badUrl"}
-	}
-	// Without GetBody the transport cannot send a request twice.
-	request.GetBody = nil
-	request.Header.Set("Skylarklane-Job", q.GetJob())
-	request.Header.Set("Skylarklane-Task", strconv.Itoa(int(q.GetTask())))
-	response, err := a.client.Do(request)
-	if err != nil {
-		return &wire.StartReply{State: wire.TaskState_TASK_STATE_FAILED, Reason: "connectionLost"}
-	}
-	defer response.Body.Close()
-	result, err := io.ReadAll(response.Body)
-	if err != nil || response.StatusCode/100 != 2 {
-		return &wire.StartReply{State: wire.TaskState_TASK_STATE_FAILED, Reason: "taskFailed"}
-	}
-	return &wire.StartReply{State: wire.TaskState_TASK_STATE_DONE, Result: result, RunMicros: time.Since(begin).Microseconds()}
-}
-
 // Ask implements wire.Agent.
-func (a *Agent) Ask(context.Context, *wire.AskRequest) (*wire.AskReply, error) {
-	return &wire.AskReply{}, nil
+func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
+	return a.table.Ask(q), nil
 }
 
 // Cancel implements wire.Agent.
-func (a *Agent) Cancel(context.Context, *wire.CancelRequest) (*wire.CancelReply, error) {
+func (a *Agent) Cancel(_ context.Context, q *wire.CancelRequest) (*wire.CancelReply, error) {
+	a.table.Cancel(q)
 	return &wire.CancelReply{}, nil
 }
 
 // Fence implements wire.Agent.
-func (a *Agent) Fence(context.Context, *wire.FenceRequest) (*wire.FenceReply, error) {
-	return &wire.FenceReply{}, nil
+func (a *Agent) Fence(_ context.Context, q *wire.FenceRequest) (*wire.FenceReply, error) {
+	return a.table.Fence(q), nil
 }
 
 // Forget implements wire.Agent.
-func (a *Agent) Forget(context.Context, *wire.ForgetRequest) (*wire.ForgetReply, error) {
+func (a *Agent) Forget(_ context.Context, q *wire.ForgetRequest) (*wire.ForgetReply, error) {
+	a.table.Forget(q)
 	return &wire.ForgetReply{}, nil
 }
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 
+	"skylarklane.example/lib/backend"
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
@@ -43,7 +44,8 @@
 		Rack:        cfg.GetRack(),
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
-	a := New(follower, ledger.New(member.GetIncarnation(), follower, client), client, log, metrics)
+	replica := ledger.New(member.GetIncarnation(), follower, client)
+	a := New(follower, replica, backend.NewRunner(process.NewClient()), log, metrics)
 	server := process.New(listener, a.Handler(), log)
 	announceListener, err := process.Listen(cfg.GetAnnounce())
 	if err != nil {
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -15,25 +15,26 @@
 
 // Entry is one entry host.
 type Entry struct {
-	follower *membership.Follower
-	ledger   *ledger.Client
-	tokens   *tokens
-	client   *http.Client
-	log      *slog.Logger
-	metrics  *metric.Registry
-	limits   *wire.EntryLimits
+	follower   *membership.Follower
+	ledger     *ledger.Client
+	tokens     *tokens
+	dispatcher *dispatcher
+	log        *slog.Logger
+	metrics    *metric.Registry
+	limits     *wire.EntryLimits
 }
 
 // New returns an entry.
 func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, log *slog.Logger, metrics *metric.Registry) *Entry {
+	held := newTokens(follower, client)
 	return &Entry{
-		follower: follower,
-		ledger:   records,
-		tokens:   newTokens(follower, client),
-		client:   client,
-		log:      log,
-		metrics:  metrics,
-		limits:   limits,
+		follower:   follower,
+		ledger:     records,
+		tokens:     held,
+		dispatcher: &dispatcher{follower: follower, tokens: held, client: client},
+		log:        log,
+		metrics:    metrics,
+		limits:     limits,
 	}
 }
 
