Tell embedders where a role listens

Cause: a program that runs several roles in one process has no way to learn ports taken from the kernel. Change: Run of each role takes a ready function. Ruled out: picking a port first and closing it again, which another process can take in between.

--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -24,11 +24,11 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log)
+	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves one worker until ctx ends.
-func Run(ctx context.Context, cfg *wire.AgentSettings, log *slog.Logger) error {
+// Run serves one worker until ctx ends. It calls ready once it listens.
+func Run(ctx context.Context, cfg *wire.AgentSettings, log *slog.Logger, ready process.ReadyFunc) error {
 	metrics := metric.New("agent")
 	defer metrics.Close()
 	client := process.NewClient()
@@ -53,7 +53,7 @@
 		return err
 	}
 	announce := process.New(announceListener, a.AnnounceHandler(), log)
-	log.Info("Ready.", "address", server.Address(), "announce", announce.Address())
+	ready(server.Address(), announce.Address())
 	follower.Run(ctx)
 	_ = announce.Shutdown(context.WithoutCancel(ctx))
 	return server.Shutdown(context.WithoutCancel(ctx))
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -21,11 +21,11 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log)
+	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves as one control host until ctx ends.
-func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger) error {
+// Run serves as one control host until ctx ends. It calls ready once it listens.
+func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc) error {
 	metrics := metric.New("control")
 	defer metrics.Close()
 	listener, err := process.Listen(cfg.GetListen())
@@ -34,7 +34,7 @@
 	}
 	c := New(cfg, log, metrics)
 	server := process.New(listener, c.Handler(), log)
-	log.Info("Ready.", "address", server.Address())
+	ready(server.Address(), "")
 	c.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -30,11 +30,11 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log)
+	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves as one entry until ctx ends.
-func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger) error {
+// Run serves as one entry until ctx ends. It calls ready once it listens.
+func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger, ready process.ReadyFunc) error {
 	metrics := metric.New("entry")
 	defer metrics.Close()
 	client := process.NewClient()
@@ -53,7 +53,7 @@
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
 	e := New(follower, records, client, limitsOf(cfg), log, metrics)
 	server := process.New(listener, e.Handler(), log)
-	log.Info("Ready.", "address", server.Address())
+	ready(server.Address(), "")
 	e.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
