Guard connections by settings: TLS, member certificates, operator token

Run: go test -race ./lib/process ./test. Cause: calls between processes and operators' calls were open to whoever reaches an address. Change: package process loads the files named under security; a process's call needs a certificate of the authority, an operator's the token. One port serves both callers and members: callers bring no certificate, members must. Also the commands check and completion. Ruled out: a second port for members, which doubles the addresses to configure; kongplete, which needs the program itself at completion time.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -7,19 +7,34 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/alecthomas/kong"
 
 	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/wire"
 )
 
 // commands are what the program can do.
 type commands struct {
 	Try     cmdTry     `cmd:"" help:"Run all roles in one process and submit a job of 20 tasks."`
+	Check   cmdCheck   `cmd:"" help:"Check settings and service files."`
 	Publish cmdPublish `cmd:"" help:"Put the service files below a folder into force."`
 	Status  cmdStatus  `cmd:"" help:"Show the state of the system."`
 	Version cmdVersion `cmd:"" help:"Print the version."`
+
+	Completion cmdCompletion `cmd:"" help:"Print a completion script for a shell."`
+
+	Security securityFlags `embed:"" group:"Security"`
+}
+
+// securityFlags name the files that guard an operator's connections.
+type securityFlags struct {
+	Certificate string `help:"Certificate of the caller (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_CERTIFICATE"`
+	Key         string `help:"Key of the certificate (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_KEY"`
+	Authority   string `help:"Certificate of the authority (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_AUTHORITY"`
+	TokenFile   string `help:"File with the operator token." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_TOKEN_FILE"`
 }
 
 // env is what every command gets.
@@ -40,18 +55,20 @@
 		kong.Writers(out, errOut),
 	)
 	if err != nil {
-		fmt.Fprintf(errOut, "skylarklane: %v\n", err)
-		return process.ExitFailed
+		return exitCode(errOut, err)
 	}
 	call, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintf(errOut, "skylarklane: %v\n", err)
-		return process.ExitUsage
+		return exitCode(errOut, &Error{Op: "read the command line", Kind: KindUsage, Err: err})
+	}
+	client, err := c.Security.client()
+	if err != nil {
+		return exitCode(errOut, &Error{Op: "read the command line", Kind: KindUsage, Err: err})
 	}
 	ctx, cancel := process.SignalContext()
 	defer cancel()
-	e := &env{ctx: ctx, out: out, err: errOut, client: process.NewClient(), version: strings.TrimSpace(version)}
-	return exitCode(errOut, call.Run(e))
+	e := &env{ctx: ctx, out: out, err: errOut, client: client, version: strings.TrimSpace(version)}
+	return exitCode(errOut, call.Run(e, parser))
 }
 
 // exitCode prints err and returns the code that stands for it.
@@ -66,3 +83,36 @@
 	}
 	return process.ExitFailed
 }
+
+// client returns an HTTP client that shows the certificate and the token.
+func (f *securityFlags) client() (*http.Client, error) {
+	security, err := process.LoadCallerSecurity(&wire.Security{
+		CertificateFile: f.Certificate, KeyFile: f.Key, AuthorityFile: f.Authority,
+	})
+	if err != nil {
+		return nil, err
+	}
+	client := security.Client()
+	if f.TokenFile == "" {
+		return client, nil
+	}
+	token, err := os.ReadFile(f.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	client.Transport = tokenTransport{next: client.Transport, token: strings.TrimSpace(string(token))}
+	return client, nil
+}
+
+// tokenTransport adds the operator token to each request.
+type tokenTransport struct {
+	next  http.RoundTripper
+	token string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.token)
+	return t.next.RoundTrip(r)
+}
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -29,9 +29,13 @@
 
 // Run serves one worker until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.AgentSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("agent")
 	defer metrics.Close()
-	client := process.NewClient()
+	client := security.Client()
 	listener, err := process.Listen(cfg.GetListen())
 	if err != nil {
 		return err
@@ -46,7 +50,7 @@
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	replica := ledger.New(member.GetIncarnation(), follower, client)
 	a := New(follower, replica, backend.NewRunner(process.NewClient()), log, metrics)
-	server := process.New(listener, a.Handler(), log)
+	server := process.New(security.Listener(listener), security.Guard(a.Handler()), log)
 	announceListener, err := process.Listen(cfg.GetAnnounce())
 	if err != nil {
 		server.Close()
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -26,6 +26,10 @@
 
 // Run serves as one control host until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("control")
 	defer metrics.Close()
 	listener, err := process.Listen(cfg.GetListen())
@@ -33,7 +37,7 @@
 		return err
 	}
 	c := New(cfg, log, metrics)
-	server := process.New(listener, c.Handler(), log)
+	server := process.New(security.Listener(listener), security.Guard(c.Handler()), log)
 	ready(server.Address(), "")
 	c.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -35,9 +35,13 @@
 
 // Run serves as one entry until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger, ready process.ReadyFunc) error {
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("entry")
 	defer metrics.Close()
-	client := process.NewClient()
+	client := security.Client()
 	listener, err := process.Listen(cfg.GetListen())
 	if err != nil {
 		return err
@@ -52,7 +56,7 @@
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
 	e := New(follower, records, client, limitsOf(cfg), log, metrics)
-	server := process.New(listener, e.Handler(), log)
+	server := process.New(security.Listener(listener), security.Guard(e.Handler()), log)
 	ready(server.Address(), "")
 	e.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
--- a/lib/process/error.go
+++ b/lib/process/error.go
@@ -7,6 +7,7 @@
 const (
 	KindAddress Kind = iota + 1
 	KindTimeout
+	KindSecurity
 )
 
 // Error is an error of this package.
