Count requests by method; stand-in backend server with faults

Cause: messages by kind could not be told from outside, and the stand-in knew only one speed. Change: server hooks count each request by method in the counter requests; the stand-in gains connections, stragglers, failures, slow start, delay, leaving, withdrawal on close and a crash (Close).

--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -48,8 +48,8 @@
 // Handler serves the other processes of the system.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a))
-	mux.Handle(wire.LedgerPathPrefix, wire.NewLedgerServer(a.replica))
+	mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a, a.metrics.Hooks()))
+	mux.Handle(wire.LedgerPathPrefix, wire.NewLedgerServer(a.replica, a.metrics.Hooks()))
 	mux.Handle("/metrics", a.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	return mux
--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -33,7 +33,7 @@
 // Handler serves the control interface.
 func (c *Control) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(c))
+	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(c, c.metrics.Hooks()))
 	mux.Handle("/metrics", c.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
--- /dev/null
+++ b/lib/standin/announce.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// announceInterval is how often the server announces itself.
+const announceInterval = 500 * time.Millisecond
+
+// announcement is what a server says of itself to its agent.
+type announcement struct {
+	Service string `json:"service"`
+	URL     string `json:"url"`
+	Slots   int    `json:"slots"`
+	Leaving bool   `json:"leaving"`
+}
+
+func (s *Server) loop(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		s.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) announce(ctx context.Context) {
+	body, _ := json.Marshal(announcement{
+		Service: s.options.Service,
+		URL:     "http://" + s.listener.Addr().String() + "/run",
+		Slots:   s.options.Slots,
+		Leaving: s.leaving.Load(),
+	})
+	s.tell(ctx, http.MethodPut, body)
+}
+
+// withdraw takes the server off its agent's list.
+func (s *Server) withdraw(ctx context.Context) {
+	s.tell(ctx, http.MethodDelete, nil)
+}
+
+func (s *Server) tell(ctx context.Context, method string, body []byte) {
+	if s.dead.Load() {
+		return
+	}
+	url := "http://" + s.options.Agent + "/v1/backendServers/" + s.options.ID
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	response, err := s.client.Do(r)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+}
--- a/lib/standin/server.go
+++ b/lib/standin/server.go
@@ -3,19 +3,18 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
-// announceInterval is how often the server announces itself.
-const announceInterval = 500 * time.Millisecond
+// maxConnections bounds the connections that a server takes at once, where
+// Options.Connections is 0.
+const maxConnections = 64
 
 // Options describe one stand-in.
 type Options struct {
@@ -26,12 +25,19 @@
 	Slots int
 	// Speed divides run times; 1 is the declared speed.
 	Speed float64
-}
-
-// Start is one start as the server saw it.
-type Start struct {
-	Job  string `json:"job"`
-	Task string `json:"task"`
+	// Connections bounds the connections taken at once; 0 means 64.
+	Connections int
+	// FailAll answers every task with status 500, at once.
+	FailAll bool
+	// Straggle multiplies each StraggleEvery-th run time; 0 means never.
+	Straggle      float64
+	StraggleEvery int
+	// WarmUp is added to run times during the first WarmUp after New.
+	WarmUp time.Duration
+	// Delay is waited before and after each task, as a network would.
+	Delay time.Duration
+	// Quiet servers keep no list of starts but only their number.
+	Quiet bool
 }
 
 // Server is one stand-in backend server.
@@ -40,9 +46,10 @@
 	listener net.Listener
 	server   *http.Server
 	client   *http.Client
-
-	mu     sync.Mutex
-	starts []Start
+	begun    time.Time
+	leaving  atomic.Bool
+	dead     atomic.Bool
+	list     startList
 }
 
 // New returns a stand-in that listens on a loopback port from the kernel.
@@ -51,74 +58,55 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{options: options, listener: listener, client: &http.Client{Timeout: time.Second}}
+	if options.Connections == 0 {
+		options.Connections = maxConnections
+	}
+	if options.Speed == 0 {
+		options.Speed = 1
+	}
+	s := &Server{
+		options:  options,
+		listener: netutil.LimitListener(listener, options.Connections),
+		client:   &http.Client{Timeout: time.Second},
+		begun:    time.Now(),
+		list:     startList{quiet: options.Quiet},
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", s.handle)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	return s, nil
 }
 
-// Run serves and announces until ctx ends.
+// Run serves and announces until ctx ends. It then takes no more work, and
+// takes itself off the agent's list.
 func (s *Server) Run(ctx context.Context) {
-	go s.loop(ctx)
 	go s.run()
-	<-ctx.Done()
+	s.loop(ctx)
+	s.withdraw(context.WithoutCancel(ctx))
 	_ = s.server.Close()
 }
 
-// Starts returns every start so far, in order.
-func (s *Server) Starts() []Start {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]Start(nil), s.starts...)
-}
-
-// payload is what a stand-in's tasks carry.
-type payload struct {
-	RunMillis float64 `json:"runMillis"`
-	Value     any     `json:"value"`
+// Leave announces that the server is leaving; it still serves what comes.
+func (s *Server) Leave(ctx context.Context) {
+	s.leaving.Store(true)
+	s.announce(ctx)
 }
 
-func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	s.starts = append(s.starts, Start{Job: r.Header.Get("Skylarklane-Job"), Task: r.Header.Get("Skylarklane-Task")})
-	s.mu.Unlock()
-	var p payload
-	body, _ := io.ReadAll(r.Body)
-	_ = json.Unmarshal(body, &p)
-	select {
-	case <-time.After(time.Duration(p.RunMillis / s.options.Speed * float64(time.Millisecond))):
-	case <-r.Context().Done():
-		return
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"value": p.Value, "by": s.options.ID})
+// Close ends the server at once, as a crash would: connections are cut and the
+// agent is told nothing.
+func (s *Server) Close() {
+	s.dead.Store(true)
+	_ = s.server.Close()
 }
 
-func (s *Server) loop(ctx context.Context) {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		s.announce(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+// Starts returns every start so far, in order.
+func (s *Server) Starts() []Start {
+	return s.list.starts()
 }
 
-func (s *Server) announce(ctx context.Context) {
-	body := fmt.Sprintf(`{"service":%q,"url":"http://%s/run","slots":%d,"leaving":false}`, s.options.Service, s.listener.Addr(), s.options.Slots)
-	url := "http://" + s.options.Agent + "/v1/backendServers/" + s.options.ID
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader([]byte(body)))
-	if err != nil {
-		return
-	}
-	response, err := s.client.Do(r)
-	if err != nil {
-		return
-	}
-	_ = response.Body.Close()
+// Count returns the number of starts so far.
+func (s *Server) Count() int {
+	return s.list.count()
 }
 
 func (s *Server) run() {
