Quorum: make TestLostVote see the vote of a lost folder

The test now requires that no election gets as far as a real vote.

go test -count=5 ./lib/quorum passes; with the vote of a fresh host and the check of the voter's folder both off, TestLostVote fails. With one of them off it passes: each stands in for the other.

--- a/lib/quorum/quorum_test.go
+++ b/lib/quorum/quorum_test.go
@@ -223,7 +223,9 @@
 			c.stop(leader)
 			c.start(id, newMemoryFolder())
 			c.isolate(behind, false)
+			before := c.termOf(behind)
 			time.Sleep(time.Minute)
+			c.is.Equal(c.termOf(behind), before) // no election got as far as a vote
 			for _, one := range []string{id, behind} {
 				c.is.Equal(kindOf(c.host(one).node.Read(t.Context(), func(uint64) {})), KindNotLeader)
 			}
@@ -231,6 +233,14 @@
 	})
 }
 
+// termOf returns the newest term that a host knows.
+func (c *cluster) termOf(id string) uint64 {
+	c.t.Helper()
+	var term uint64
+	c.is.NoErr(c.host(id).node.Peek(c.t.Context(), func(s Status) { term = s.Term }))
+	return term
+}
+
 func TestSyncFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, three...)
