--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -60,6 +60,9 @@
 	return a.registry.Handler()
 }
 
+// Book returns the book of the worker's slots.
+func (a *Agent) Book() *slot.Book { return a.book }
+
 // Claim implements wire.Agent.
 func (a *Agent) Claim(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
 	return a.book.Claim(q), nil
@@ -67,7 +70,7 @@
 
 // Start implements wire.Agent. The task goes on where the caller is lost.
 func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
-	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
+	server, token, ok := a.slot(ctx, q)
 	if !ok {
 		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "voidToken"}, nil
 	}
@@ -76,10 +79,20 @@
 		reply = a.runner.Run(context.WithoutCancel(ctx), a.registry.URL(server), q)
 		a.table.End(q, reply)
 	}
-	reply.Token = a.book.Return(q.GetCoordinator(), q.GetToken())
+	reply.Token = a.book.Return(q.GetCoordinator(), token)
 	return reply, nil
 }
 
+// slot takes the slot for a start: that of its token, or the next free one
+// where it has none. It returns the backend server and the token's number.
+func (a *Agent) slot(ctx context.Context, q *wire.StartRequest) (string, uint64, bool) {
+	if q.GetToken() == 0 {
+		return a.book.Enter(ctx, q.GetCoordinator(), q.GetService())
+	}
+	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
+	return server, q.GetToken(), ok
+}
+
 // Ask implements wire.Agent.
 func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
 	return a.table.Ask(q), nil
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -11,6 +11,7 @@
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/settings"
+	"skylarklane.example/lib/slot"
 	"skylarklane.example/lib/wire"
 )
 
@@ -53,6 +54,8 @@
 		return err
 	}
 	announce := process.New(announceListener, a.AnnounceHandler(), log)
+	offerer := slot.NewOfferer(a.Book(), member.GetIncarnation(), follower, client, log)
+	go offerer.Run(ctx)
 	ready(server.Address(), announce.Address())
 	follower.Run(ctx)
 	_ = announce.Shutdown(context.WithoutCancel(ctx))
--- /dev/null
+++ b/lib/entry/desk.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/wire"
+)
+
+const (
+	// defaultRun is the run time of a kind that declares none.
+	defaultRun = 100 * time.Millisecond
+	// shortRun is the run time below which no task waits for a faster worker.
+	shortRun = 5 * time.Millisecond
+	// muchFaster is how much faster a worker must be to be worth a wait.
+	muchFaster = 1.2
+	// sizeSamples is how many runs of a payload size count.
+	sizeSamples = 8
+)
+
+// desk is one service at this entry: what waits for it and which slots are
+// held. The dispatcher's lock guards it.
+type desk struct {
+	service string
+	queue   *queue
+	pool    *pool
+	// slots of all workers, held by any entry.
+	slots   int
+	running map[*task]struct{}
+	kinds   map[string]*kindState
+
+	borrowers []*borrower
+	borrowing map[incarnation]bool
+	recheck   bool
+	// emptySince is since when no worker has a slot; zero while one has.
+	emptySince time.Time
+}
+
+func newDesk(service string, since time.Time) *desk {
+	return &desk{
+		service:    service,
+		queue:      newQueue(),
+		pool:       &pool{},
+		running:    map[*task]struct{}{},
+		kinds:      map[string]*kindState{},
+		borrowing:  map[incarnation]bool{},
+		emptySince: since,
+	}
+}
+
+// kindState is what the entry has learned of one kind of request.
+type kindState struct {
+	name  string
+	times placement.Average
+	// sizes are the times by the payload's size.
+	sizes map[int]placement.Average
+}
+
+// kind returns what is known of a kind, at first what it declares.
+func (k *desk) kind(name string, declared time.Duration) *kindState {
+	s := k.kinds[name]
+	if s == nil {
+		if declared <= 0 {
+			declared = defaultRun
+		}
+		s = &kindState{name: name, times: placement.Declared(declared), sizes: map[int]placement.Average{}}
+		k.kinds[name] = s
+	}
+	return s
+}
+
+// sizeClass groups payloads by the power of two of their length.
+func sizeClass(payload []byte) int { return bits.Len(uint(len(payload))) }
+
+// expected returns the expected run time for a payload size.
+func (s *kindState) expected(class int) time.Duration {
+	if a := s.sizes[class]; a.N >= sizeSamples {
+		return a.Duration()
+	}
+	return s.times.Duration()
+}
+
+// learn takes the run time of a finished task in.
+func (k *desk) learn(t *task, run time.Duration) {
+	s := t.run.kind
+	size, known := s.sizes[t.class]
+	if !known {
+		size = placement.Average{Log: s.times.Log}
+	}
+	s.sizes[t.class], _ = placement.Learn(size, t.server.speed, run)
+	reference := s.times
+	if size.N >= sizeSamples {
+		reference = placement.Average{Log: size.Log, N: size.N}
+	}
+	_, t.server.speed = placement.Learn(reference, t.server.speed, run)
+	s.times, _ = placement.Learn(s.times, t.server.speed, run)
+}
+
+// demand is what the desk has and needs.
+func (k *desk) demand() placement.Demand {
+	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.tasks}
+}
+
+// waits tells whether t should rather wait for a faster worker than h's.
+func (k *desk) waits(t *task, h *held, ahead int, now time.Time) bool {
+	factor := h.server.speed.Value()
+	if time.Duration(float64(t.expected)*factor) < shortRun {
+		return false
+	}
+	return placement.Waits(t.expected, factor, k.faster(factor, now), ahead)
+}
+
+// faster returns the busy slots at workers that are much faster than factor.
+func (k *desk) faster(factor float64, now time.Time) []placement.Busy {
+	var busy []placement.Busy
+	for t := range k.running {
+		f := t.server.speed.Value()
+		if f*muchFaster < factor && !t.server.health.Ejected() {
+			busy = append(busy, placement.Busy{FreeIn: t.remaining(now), Factor: f})
+		}
+	}
+	slices.SortFunc(busy, func(a, b placement.Busy) int { return int(a.FreeIn - b.FreeIn) })
+	return busy
+}
+
+// load is the work before a new job of an urgency.
+func (k *desk) load(urgency wire.Urgency, slots int, now time.Time) placement.Load {
+	load := placement.Load{Slots: slots, Queued: k.queue.ahead(urgency)}
+	for t := range k.running {
+		load.Running += t.remaining(now)
+	}
+	return load
+}
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -10,6 +10,7 @@
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/wire"
 )
 
@@ -17,7 +18,6 @@
 type Entry struct {
 	follower   *membership.Follower
 	ledger     *ledger.Client
-	tokens     *tokens
 	dispatcher *dispatcher
 	log        *slog.Logger
 	metrics    *metric.Registry
@@ -25,13 +25,11 @@
 }
 
 // New returns an entry.
-func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, log *slog.Logger, metrics *metric.Registry) *Entry {
-	held := newTokens(follower, client)
+func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, policy placement.Policy, log *slog.Logger, metrics *metric.Registry) *Entry {
 	return &Entry{
 		follower:   follower,
 		ledger:     records,
-		tokens:     held,
-		dispatcher: &dispatcher{follower: follower, tokens: held, client: client},
+		dispatcher: newDispatcher(follower, client, policy, log, metrics.Scope()),
 		log:        log,
 		metrics:    metrics,
 		limits:     limits,
@@ -40,7 +38,8 @@
 
 // Run works until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
-	go e.tokens.loop(ctx)
+	keep := &keeper{d: e.dispatcher}
+	go keep.loop(ctx)
 	e.follower.Run(ctx)
 }
 
@@ -49,6 +48,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.submit)
 	mux.HandleFunc("GET /v1/jobs/{key}", e.show)
+	mux.HandleFunc("GET /v1/admin/status", e.status)
+	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(e))
 	mux.Handle("/metrics", e.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", e.ready)
--- /dev/null
+++ b/lib/entry/lend.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/wire"
+)
+
+const (
+	// borrowWait is how long an entry without a surplus keeps a request.
+	borrowWait = 2 * time.Second
+	// borrowTimeout bounds one call.
+	borrowTimeout = borrowWait + time.Second
+	// gatherTime is how long a lender gathers tokens for one reply.
+	gatherTime = 2 * time.Millisecond
+	// borrowDelay is the time between requests without success.
+	borrowDelay = 100 * time.Millisecond
+	// maxBorrow bounds the tokens of one reply.
+	maxBorrow = 512
+)
+
+// borrower is a request of another entry that waits for tokens.
+type borrower struct {
+	request *wire.BorrowRequest
+	tokens  []*wire.Token
+	full    chan struct{}
+}
+
+func (b *borrower) demand() placement.Demand {
+	given := len(b.tokens)
+	return placement.Demand{
+		Held:   int(b.request.GetHeld()) + given,
+		Queued: max(0, int(b.request.GetQueued())-given),
+	}
+}
+
+// lendTo answers a request for tokens.
+func (d *dispatcher) lendTo(ctx context.Context, q *wire.BorrowRequest) *wire.BorrowReply {
+	b := &borrower{request: q, full: make(chan struct{})}
+	d.mu.Lock()
+	k := d.desk(q.GetService())
+	k.borrowers = append(k.borrowers, b)
+	d.lend(k)
+	d.mu.Unlock()
+	wait := time.NewTimer(min(time.Duration(q.GetWaitMillis())*time.Millisecond, borrowWait))
+	defer wait.Stop()
+	select {
+	case <-b.full:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k.forget(b)
+	if ctx.Err() != nil {
+		d.keep(k, b)
+	}
+	return &wire.BorrowReply{Tokens: b.tokens}
+}
+
+// keep takes tokens back whose borrower has hung up.
+func (d *dispatcher) keep(k *desk, b *borrower) {
+	d.accept(b.tokens)
+	b.tokens = nil
+}
+
+// lend gives idle tokens to the entries that wait for some.
+func (d *dispatcher) lend(k *desk) {
+	now := time.Now()
+	for _, b := range k.borrowers {
+		n := min(placement.Lend(k.demand(), b.demand()), int(b.request.GetWant())-len(b.tokens), maxBorrow)
+		if n <= 0 {
+			continue
+		}
+		if len(b.tokens) == 0 {
+			time.AfterFunc(gatherTime, func() { close(b.full) })
+		}
+		d.give(k, b, n, now)
+	}
+}
+
+func (d *dispatcher) give(k *desk, b *borrower, n int, now time.Time) {
+	for range n {
+		h := k.pool.fastest(now)
+		if h == nil {
+			return
+		}
+		left := h.until.Sub(now).Milliseconds()
+		b.tokens = append(b.tokens, &wire.Token{
+			Agent:         h.token.GetAgent(),
+			BackendServer: h.token.GetBackendServer(),
+			Service:       h.token.GetService(),
+			Number:        h.token.GetNumber(),
+			LeaseMillis:   left,
+		})
+		d.void(h)
+	}
+}
+
+func (k *desk) forget(b *borrower) {
+	for n, other := range k.borrowers {
+		if other == b {
+			k.borrowers = append(k.borrowers[:n], k.borrowers[n+1:]...)
+			return
+		}
+	}
+}
+
+// borrow asks the other entries for tokens, each with one call at a time.
+func (d *dispatcher) borrow(k *desk) {
+	for id, p := range d.fleet.peers {
+		if k.borrowing[id] {
+			continue
+		}
+		k.borrowing[id] = true
+		l := &loan{d: d, k: k, id: id, peer: p}
+		go l.loop()
+	}
+}
+
+// loan asks one other entry for tokens as long as a desk lacks some.
+type loan struct {
+	d    *dispatcher
+	k    *desk
+	id   incarnation
+	peer *peer
+}
+
+func (l *loan) loop() {
+	for {
+		request := l.next()
+		if request == nil {
+			return
+		}
+		if !l.call(request) {
+			time.Sleep(borrowDelay)
+		}
+	}
+}
+
+// next returns the next request, or nil where the desk lacks nothing.
+func (l *loan) next() *wire.BorrowRequest {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	l.d.follow()
+	demand := l.k.demand()
+	if demand.Queued <= demand.Idle || l.d.fleet.peers[l.id] != l.peer {
+		delete(l.k.borrowing, l.id)
+		return nil
+	}
+	return &wire.BorrowRequest{
+		Entry:      l.d.self,
+		Service:    l.k.service,
+		Want:       uint32(demand.Queued - demand.Idle),
+		Held:       uint32(demand.Held),
+		Queued:     uint32(demand.Queued),
+		WaitMillis: borrowWait.Milliseconds(),
+	}
+}
+
+// call makes one request. It returns false where it brought nothing.
+func (l *loan) call(request *wire.BorrowRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	reply, err := l.peer.client.Borrow(ctx, request)
+	if err != nil || len(reply.GetTokens()) == 0 {
+		return false
+	}
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	l.d.accept(reply.GetTokens())
+	return true
+}
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -8,6 +8,7 @@
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/settings"
 	"skylarklane.example/lib/wire"
@@ -35,6 +36,10 @@
 
 // Run serves as one entry until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger, ready process.ReadyFunc) error {
+	policy, err := placement.Parse(cfg.GetPlacement())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("entry")
 	defer metrics.Close()
 	client := process.NewClient()
@@ -51,7 +56,7 @@
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
-	e := New(follower, records, client, limitsOf(cfg), log, metrics)
+	e := New(follower, records, client, limitsOf(cfg), policy, log, metrics)
 	server := process.New(listener, e.Handler(), log)
 	ready(server.Address(), "")
 	e.Run(ctx)
--- /dev/null
+++ b/lib/entry/start.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"skylarklane.example/lib/wire"
+)
+
+const (
+	// replyGrace is how long after the deadline a reply may still bring the
+	// token back.
+	replyGrace = 5 * time.Second
+	// askWait is how long an agent may hold a question about a running task.
+	askWait = 2 * time.Second
+	// askTimeout bounds one question.
+	askTimeout = askWait + time.Second
+	// firstAskDelay and lastAskDelay bound the time between questions.
+	firstAskDelay = 20 * time.Millisecond
+	lastAskDelay  = time.Second
+)
+
+// start is one start of a task on its way.
+type start struct {
+	d *dispatcher
+	t *task
+	// h is the token used; nil where the task queues at the worker.
+	h *held
+}
+
+// start marks a task as started on a token and sends it off.
+func (d *dispatcher) start(t *task, h *held, now time.Time) {
+	t.server = h.server
+	t.startedAt = now
+	t.run.started[t.number] = t
+	t.run.desk.running[t] = struct{}{}
+	h.server.running[t] = struct{}{}
+	t.run.team.account = t.run.team.account.WithStarted(t.expected.Seconds())
+	d.budget = d.budget.WithStart()
+	s := &start{d: d, t: t, h: h}
+	d.work.Go(s.run)
+}
+
+func (s *start) run() {
+	a := s.t.server.agent
+	ctx, cancel := context.WithDeadline(a.alive, s.t.run.deadline.Add(replyGrace))
+	defer cancel()
+	reply, err := a.client.Start(ctx, s.request())
+	switch {
+	case err == nil:
+		s.d.answered(s, reply)
+	case neverSent(err):
+		s.d.refused(s, "dialRefused")
+	default:
+		s.d.lost(s)
+	}
+}
+
+func (s *start) request() *wire.StartRequest {
+	r := s.t.run
+	return &wire.StartRequest{
+		Job:            r.key,
+		Task:           s.t.number,
+		Coordinator:    s.d.self,
+		Agent:          s.t.server.agent.member.GetIncarnation(),
+		Token:          s.number(),
+		Service:        r.spec.GetService(),
+		Kind:           r.spec.GetKind(),
+		Payload:        r.spec.GetPayloads()[s.t.number],
+		DeadlineMillis: max(time.Until(r.deadline).Milliseconds(), 1),
+	}
+}
+
+func (s *start) number() uint64 {
+	if s.h == nil {
+		return 0
+	}
+	return s.h.token.GetNumber()
+}
+
+// answered takes the reply of an agent in.
+func (d *dispatcher) answered(s *start, reply *wire.StartReply) {
+	if reply.GetState() == wire.TaskState_TASK_STATE_RUNNING {
+		d.lost(s)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leave(s.t)
+	d.takeBack(s, reply.GetToken())
+	d.judge(s.t, reply)
+	d.dispatchBack(s.t.run.desk)
+}
+
+// judge draws the consequence of how a task ended.
+func (d *dispatcher) judge(t *task, reply *wire.StartReply) {
+	server := t.server
+	switch reply.GetState() {
+	case wire.TaskState_TASK_STATE_DONE:
+		server.runs++
+		server.health = server.health.WithSuccess()
+		if reply.GetRunMicros() > 0 {
+			t.run.desk.learn(t, time.Duration(reply.GetRunMicros())*time.Microsecond)
+		}
+		d.done(t, reply.GetResult())
+	case wire.TaskState_TASK_STATE_NOT_STARTED:
+		d.retry(t, reply.GetReason())
+	default:
+		server.failed++
+		if !t.run.ended() {
+			server.health = server.health.WithFailure(t.run.key, time.Now())
+		}
+		d.fail(t.run, reasonOr(reply.GetReason(), reasonFailed))
+	}
+}
+
+// refused handles a start that never reached the agent.
+func (d *dispatcher) refused(s *start, reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leave(s.t)
+	d.takeBack(s, nil)
+	s.t.server.agent.suspect(time.Now())
+	d.retry(s.t, reason)
+	d.dispatchBack(s.t.run.desk)
+}
+
+// lost asks the agent what became of a start whose reply did not come. The
+// task starts nowhere else unless the agent knows that it did not start and
+// bars it from starting.
+func (d *dispatcher) lost(s *start) {
+	d.mu.Lock()
+	d.scope.Counter("lost_contacts").Inc(1)
+	d.takeBack(s, nil)
+	s.t.server.agent.doubt = true
+	d.mu.Unlock()
+	status := s.ask()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leave(s.t)
+	switch status.GetState() {
+	case wire.TaskState_TASK_STATE_UNSPECIFIED:
+		d.fail(s.t.run, reasonLost)
+	default:
+		d.judge(s.t, &wire.StartReply{State: status.GetState(), Result: status.GetResult(), Reason: reasonOr(status.GetReason(), "barred")})
+	}
+	d.dispatchBack(s.t.run.desk)
+}
+
+// ask repeats the question until it is answered, the agent is gone or the job
+// has ended. It returns nil where there is no answer.
+func (s *start) ask() *wire.TaskStatus {
+	delay := firstAskDelay
+	a := s.t.server.agent
+	for a.alive.Err() == nil {
+		if status := s.askOnce(); status != nil && status.GetState() != wire.TaskState_TASK_STATE_RUNNING {
+			return status
+		}
+		select {
+		case <-a.alive.Done():
+		case <-s.t.run.done:
+			return nil
+		case <-time.After(delay):
+		}
+		delay = min(2*delay, lastAskDelay)
+	}
+	return nil
+}
+
+func (s *start) askOnce() *wire.TaskStatus {
+	a := s.t.server.agent
+	ctx, cancel := context.WithTimeout(a.alive, askTimeout)
+	defer cancel()
+	reply, err := a.client.Ask(ctx, &wire.AskRequest{
+		Job:        s.t.run.key,
+		Tasks:      []uint32{s.t.number},
+		Agent:      a.member.GetIncarnation(),
+		WaitMillis: askWait.Milliseconds(),
+		Bar:        true,
+	})
+	if err != nil {
+		return nil
+	}
+	for _, status := range reply.GetTasks() {
+		if status.GetTask() == s.t.number && status.GetState() != wire.TaskState_TASK_STATE_UNSPECIFIED {
+			return status
+		}
+	}
+	return nil
+}
+
+// retry queues a task again that did not start.
+func (d *dispatcher) retry(t *task, reason string) {
+	r := t.run
+	if r.ended() {
+		return
+	}
+	var ok bool
+	if d.budget, ok = d.budget.WithRetry(); !ok {
+		d.scope.Counter("retry_budget_spent").Inc(1)
+		d.fail(r, reasonRetries)
+		return
+	}
+	d.scope.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(1)
+	t.server = nil
+	d.again(t)
+}
+
+// leave ends the account of a started task.
+func (d *dispatcher) leave(t *task) {
+	r := t.run
+	delete(r.desk.running, t)
+	delete(r.started, t.number)
+	if t.server != nil {
+		delete(t.server.running, t)
+	}
+	r.team.account = r.team.account.WithEnded()
+}
+
+// neverSent tells whether a call failed before anything was sent.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func reasonOr(reason, otherwise string) string {
+	if reason == "" {
+		return otherwise
+	}
+	return reason
+}
--- a/lib/entry/tokens.go
+++ b/lib/entry/tokens.go
@@ -1,58 +1,202 @@
 package entry
 
 import (
-	"context"
-	"net/http"
 	"time"
 
-	"skylarklane.example/lib/membership"
+	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/wire"
 )
 
 const (
-	claimInterval = 200 * time.Millisecond
-	claimTimeout  = time.Second
-	claimMax      = 64
+	// suspectTime is how long an agent that can't be reached gets no start.
+	suspectTime = time.Second
+	// declineTime is how long agents keep their slots where an entry does not
+	// use tokens.
+	declineTime = 30 * time.Second
+	// strangerTime is how soon an agent that the entry does not know yet may
+	// offer again.
+	strangerTime = 200 * time.Millisecond
 )
 
-// tokens holds the idle slots that this entry may start tasks on.
-type tokens struct {
-	follower *membership.Follower
-	client   *http.Client
-	idle     chan *wire.Token
+// offer takes tokens and capacities of an agent in.
+func (d *dispatcher) offer(q *wire.OfferRequest) *wire.OfferReply {
+	if incarnationOf(q.GetEntry()) != incarnationOf(d.self) {
+		return declined(strangerTime)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.follow()
+	a := d.fleet.agents[incarnationOf(q.GetAgent())]
+	if a == nil {
+		return declined(strangerTime)
+	}
+	d.setCapacities(a, q)
+	if !d.usesTokens() || d.leaving || a.member.GetLeaving() {
+		return declined(declineTime)
+	}
+	d.accept(q.GetTokens())
+	return &wire.OfferReply{}
+}
+
+func declined(retry time.Duration) *wire.OfferReply {
+	return &wire.OfferReply{Declined: true, RetryMillis: retry.Milliseconds()}
+}
+
+// setCapacities notes what a worker has. Where it has less than before, the
+// tokens from it are checked.
+func (d *dispatcher) setCapacities(a *agent, q *wire.OfferRequest) {
+	if q.GetSequence() <= a.sequence {
+		return
+	}
+	a.sequence = q.GetSequence()
+	if slotsIn(q.GetCapacities()) < slotsIn(a.capacities) {
+		a.doubt = true
+	}
+	a.capacities = q.GetCapacities()
+	d.measure()
 }
 
-func newTokens(follower *membership.Follower, client *http.Client) *tokens {
-	return &tokens{follower: follower, client: client, idle: make(chan *wire.Token, 1<<16)}
+func slotsIn(capacities []*wire.Capacity) int {
+	sum := 0
+	for _, c := range capacities {
+		sum += int(c.GetSlots())
+	}
+	return sum
 }
 
-func (t *tokens) loop(ctx context.Context) {
-	ticker := time.NewTicker(claimInterval)
-	defer ticker.Stop()
-	for {
-		t.claim(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+// measure sums the capacities of all workers up for each service.
+func (d *dispatcher) measure() {
+	sums := map[string]int{}
+	for _, a := range d.fleet.agents {
+		for _, c := range a.capacities {
+			sums[c.GetService()] += int(c.GetSlots())
+		}
+	}
+	for service := range sums {
+		d.desk(service)
+	}
+	now := time.Now()
+	for service, k := range d.desks {
+		k.slots = sums[service]
+		switch {
+		case k.slots > 0:
+			k.emptySince = time.Time{}
+		case k.emptySince.IsZero():
+			k.emptySince = now
 		}
 	}
 }
 
-func (t *tokens) claim(ctx context.Context) {
-	for _, member := range t.follower.Directory().GetMembers() {
-		if member.GetRole() != wire.Role_ROLE_AGENT {
+// accept adds tokens that this entry now holds, and uses them.
+func (d *dispatcher) accept(tokens []*wire.Token) {
+	now := time.Now()
+	touched := map[*desk]bool{}
+	for _, token := range tokens {
+		a := d.fleet.agents[incarnationOf(token.GetAgent())]
+		if a == nil || a.member.GetLeaving() || a.tokens[token.GetNumber()] != nil {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-		agent := wire.NewAgentProtobufClient("http://"+member.GetAddress(), t.client)
-		reply, err := agent.Claim(ctx, &wire.ClaimRequest{Entry: t.follower.Member().GetIncarnation(), Max: claimMax})
-		cancel()
-		if err != nil {
-			continue
+		k := d.desk(token.GetService())
+		h := &held{token: token, server: a.serverOf(token, k), until: leaseEnd(token, now)}
+		a.tokens[token.GetNumber()] = h
+		k.pool.held++
+		k.pool.put(h)
+		touched[k] = true
+	}
+	for k := range touched {
+		d.dispatchBack(k)
+	}
+}
+
+// takeBack puts the token of a start back, or drops it where it is gone.
+func (d *dispatcher) takeBack(s *start, token *wire.Token) {
+	h := s.h
+	if h == nil || h.gone {
+		return
+	}
+	a := h.server.agent
+	if token == nil || a.gone || a.member.GetLeaving() {
+		d.void(h)
+		return
+	}
+	h.until = leaseEnd(token, time.Now())
+	h.server.desk.pool.put(h)
+}
+
+// void drops a token for good.
+func (d *dispatcher) void(h *held) {
+	h.server.desk.pool.void(h)
+}
+
+// dispatchBack shares what a desk has with other entries in need, and starts
+// what waits here.
+func (d *dispatcher) dispatchBack(k *desk) {
+	d.lend(k)
+	d.dispatch(k)
+}
+
+// again queues a task that did not start.
+func (d *dispatcher) again(t *task) {
+	if d.usesTokens() {
+		t.run.desk.queue.push(t)
+		return
+	}
+	d.scatter(t.run, []*task{t})
+}
+
+// follow takes the newest directory in.
+func (d *dispatcher) follow() {
+	directory := d.follower.Directory()
+	if directory.GetVersion() == d.fleet.version {
+		return
+	}
+	for _, a := range d.fleet.follow(directory, d.self, d.client) {
+		d.drop(a)
+	}
+	for _, a := range d.fleet.agents {
+		if a.member.GetLeaving() {
+			d.dropIdle(a)
 		}
-		for _, token := range reply.GetTokens() {
-			t.idle <- token
+	}
+	for _, t := range d.teams {
+		d.setQuota(t, directory)
+	}
+	d.measure()
+}
+
+// drop fails what ran at an agent that is gone, and voids its tokens.
+func (d *dispatcher) drop(a *agent) {
+	for _, h := range a.tokens {
+		d.void(h)
+	}
+	for _, s := range a.servers {
+		for t := range s.running {
+			d.fail(t.run, reasonLost)
+		}
+	}
+}
+
+// dropIdle voids the unused tokens of a leaving agent.
+func (d *dispatcher) dropIdle(a *agent) {
+	for _, h := range a.tokens {
+		if h.idle {
+			d.void(h)
 		}
 	}
 }
+
+// suspect keeps starts away from an agent for a while.
+func (a *agent) suspect(now time.Time) {
+	a.suspectUntil = now.Add(suspectTime)
+}
+
+// leaseEnd is when the entry stops using a token. The agent waits longer.
+func leaseEnd(token *wire.Token, now time.Time) time.Time {
+	return now.Add(time.Duration(token.GetLeaseMillis()) * time.Millisecond)
+}
+
+// usesTokens tells whether the entry holds slots.
+func (d *dispatcher) usesTokens() bool {
+	_, uses := d.policy.(placement.Tokens)
+	return uses
+}
--- /dev/null
+++ b/lib/placement/error.go
@@ -0,0 +1,23 @@
+package placement
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindName means that no policy has the name.
+	KindName Kind = iota + 1
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- a/lib/wire/entry.twirp.go
+++ b/lib/wire/entry.twirp.go
@@ -28,6 +28,10 @@
 
 // Entry is what entries offer to each other.
 type Entry interface {
+	// Offer leases idle slots of a worker to an entry, as tokens, and tells
+	// what the worker has. Sent by agents when either changes.
+	Offer(context.Context, *OfferRequest) (*OfferReply, error)
+
 	// Borrow passes tokens from an entry with a surplus to one that lacks some.
 	Borrow(context.Context, *BorrowRequest) (*BorrowReply, error)
 
@@ -44,7 +48,7 @@
 
 type entryProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -72,7 +76,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "skylarklane.v1", "Entry")
-	urls := [3]string{
+	urls := [4]string{
+		serviceURL + "Offer",
 		serviceURL + "Borrow",
 		serviceURL + "Await",
 		serviceURL + "CancelJob",
@@ -86,6 +91,52 @@
 	}
 }
 
+func (c *entryProtobufClient) Offer(ctx context.Context, in *OfferRequest) (*OfferReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "skylarklane.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Offer")
+	caller := c.callOffer
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferRequest) (*OfferReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferRequest) when calling interceptor")
+					}
+					return c.callOffer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryProtobufClient) callOffer(ctx context.Context, in *OfferRequest) (*OfferReply, error) {
+	out := new(OfferReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *entryProtobufClient) Borrow(ctx context.Context, in *BorrowRequest) (*BorrowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "skylarklane.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Entry")
@@ -117,7 +168,7 @@
 
 func (c *entryProtobufClient) callBorrow(ctx context.Context, in *BorrowRequest) (*BorrowReply, error) {
 	out := new(BorrowReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -163,7 +214,7 @@
 
 func (c *entryProtobufClient) callAwait(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
 	out := new(AwaitReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -209,7 +260,7 @@
 
 func (c *entryProtobufClient) callCancelJob(ctx context.Context, in *CancelJobRequest) (*CancelJobReply, error) {
 	out := new(CancelJobReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -230,7 +281,7 @@
 
 type entryJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -258,7 +309,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "skylarklane.v1", "Entry")
-	urls := [3]string{
+	urls := [4]string{
+		serviceURL + "Offer",
 		serviceURL + "Borrow",
 		serviceURL + "Await",
 		serviceURL + "CancelJob",
@@ -272,6 +324,52 @@
 	}
 }
 
+func (c *entryJSONClient) Offer(ctx context.Context, in *OfferRequest) (*OfferReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "skylarklane.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Entry")
+	ctx = ctxsetters.WithMethodName(ctx, "Offer")
+	caller := c.callOffer
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *OfferRequest) (*OfferReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferRequest) when calling interceptor")
+					}
+					return c.callOffer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entryJSONClient) callOffer(ctx context.Context, in *OfferRequest) (*OfferReply, error) {
+	out := new(OfferReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *entryJSONClient) Borrow(ctx context.Context, in *BorrowRequest) (*BorrowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "skylarklane.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Entry")
@@ -303,7 +401,7 @@
 
 func (c *entryJSONClient) callBorrow(ctx context.Context, in *BorrowRequest) (*BorrowReply, error) {
 	out := new(BorrowReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -349,7 +447,7 @@
 
 func (c *entryJSONClient) callAwait(ctx context.Context, in *AwaitRequest) (*AwaitReply, error) {
 	out := new(AwaitReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -395,7 +493,7 @@
 
 func (c *entryJSONClient) callCancelJob(ctx context.Context, in *CancelJobRequest) (*CancelJobReply, error) {
 	out := new(CancelJobReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -507,6 +605,9 @@
 	}
 
 	switch method {
+	case "Offer":
+		s.serveOffer(ctx, resp, req)
+		return
 	case "Borrow":
 		s.serveBorrow(ctx, resp, req)
 		return
@@ -523,6 +624,186 @@
 	}
 }
 
+func (s *entryServer) serveOffer(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveOfferJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveOfferProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entryServer) serveOfferJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Offer")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(OfferRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entry.Offer
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferRequest) (*OfferReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferRequest) when calling interceptor")
+					}
+					return s.Entry.Offer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferReply and nil error while calling Offer. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entryServer) serveOfferProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Offer")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(OfferRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entry.Offer
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *OfferRequest) (*OfferReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*OfferRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*OfferRequest) when calling interceptor")
+					}
+					return s.Entry.Offer(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*OfferReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*OfferReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *OfferReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *OfferReply and nil error while calling Offer. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *entryServer) serveBorrow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1079,30 +1360,40 @@
 }
 
 var twirpFileDescriptor1 = []byte{
-	// 399 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0x5f, 0x6f, 0x94, 0x40,
-	0x14, 0xc5, 0x83, 0x08, 0x75, 0x2f, 0xdb, 0xa6, 0x99, 0x68, 0x24, 0xd4, 0x3f, 0x88, 0xc6, 0xf0,
-	0x22, 0xcd, 0x6e, 0x1f, 0xf5, 0xa5, 0x55, 0x1f, 0x34, 0x69, 0x4c, 0x26, 0xfa, 0xe2, 0x8b, 0x19,
-	0xe8, 0x8d, 0x12, 0x86, 0x19, 0x1c, 0xa6, 0x8b, 0x7c, 0x5a, 0xbf, 0x8a, 0x99, 0x01, 0x9a, 0x2d,
-	0x09, 0xf6, 0x65, 0x73, 0xef, 0x9c, 0x5f, 0xee, 0x39, 0x77, 0x2f, 0x10, 0xa0, 0xd0, 0xaa, 0xcf,
-	0x1a, 0x25, 0xb5, 0x24, 0x47, 0x6d, 0xd5, 0x73, 0xa6, 0x2a, 0xce, 0x04, 0x66, 0xbb, 0x4d, 0xb4,
-	0xae, 0xb1, 0xce, 0x51, 0x0d, 0x6a, 0xb4, 0xe6, 0x78, 0xf5, 0xf3, 0xa6, 0x03, 0xcd, 0xda, 0x6a,
-	0xa8, 0x93, 0x06, 0x0e, 0x2f, 0xa4, 0x52, 0xb2, 0xa3, 0xf8, 0xfb, 0x1a, 0x5b, 0x4d, 0x36, 0xe0,
-	0xd9, 0xb9, 0xa1, 0x13, 0x3b, 0x69, 0xb0, 0x3d, 0xc9, 0x6e, 0x0f, 0xce, 0x3e, 0x89, 0x82, 0x29,
-	0xc1, 0x74, 0x29, 0x05, 0x1d, 0x48, 0x12, 0xc2, 0x41, 0x8b, 0x6a, 0x57, 0x16, 0x18, 0xde, 0x8b,
-	0x9d, 0x74, 0x45, 0xa7, 0x96, 0x10, 0xb8, 0xdf, 0x31, 0xa1, 0x43, 0x37, 0x76, 0xd2, 0x43, 0x6a,
-	0xeb, 0xe4, 0x1d, 0x04, 0x93, 0x63, 0xc3, 0x7b, 0xf2, 0x06, 0x7c, 0x2d, 0x2b, 0x14, 0x6d, 0xe8,
-	0xc4, 0x6e, 0x1a, 0x6c, 0x1f, 0xcd, 0x0d, 0xbf, 0x1a, 0x95, 0x8e, 0x50, 0xb2, 0x83, 0xf5, 0x79,
-	0xc7, 0x4a, 0x3d, 0xc5, 0x3d, 0x06, 0xb7, 0xc2, 0x21, 0xec, 0x8a, 0x9a, 0x92, 0x9c, 0x81, 0xff,
-	0x4b, 0xf2, 0x2b, 0x54, 0x36, 0xcc, 0x1d, 0x1b, 0x8c, 0x28, 0x79, 0x0e, 0x81, 0x99, 0xfa, 0xa3,
-	0x2e, 0x39, 0x2f, 0x5b, 0x9b, 0xd7, 0xa5, 0x60, 0x9e, 0x2e, 0xed, 0x4b, 0xf2, 0x0d, 0x60, 0xf4,
-	0x35, 0xa1, 0x1f, 0x82, 0x57, 0x09, 0xd9, 0x09, 0xeb, 0xfb, 0x80, 0x0e, 0x0d, 0xd9, 0xc0, 0x81,
-	0xbc, 0xd6, 0x85, 0xac, 0x71, 0xb4, 0x7e, 0x3c, 0xb7, 0xfe, 0x32, 0xc8, 0x74, 0xe2, 0x92, 0x57,
-	0x70, 0xfc, 0x9e, 0x89, 0x02, 0xf9, 0x67, 0x99, 0x2f, 0xae, 0x94, 0xbc, 0x86, 0xa3, 0x3d, 0x6a,
-	0x31, 0xc0, 0xf6, 0xaf, 0x03, 0xde, 0x47, 0x7b, 0x92, 0x0f, 0xe0, 0x0f, 0x7f, 0x32, 0x79, 0x3a,
-	0xcf, 0x70, 0xeb, 0xdc, 0xd1, 0xc9, 0x92, 0x6c, 0x5c, 0xce, 0xc1, 0xb3, 0x4b, 0x93, 0x27, 0x73,
-	0x6a, 0xff, 0x06, 0x51, 0xb4, 0xa0, 0x9a, 0x11, 0x97, 0xb0, 0xba, 0x89, 0x4e, 0xe2, 0x39, 0x38,
-	0xdf, 0x3d, 0x7a, 0xf6, 0x1f, 0xa2, 0xe1, 0xfd, 0xc5, 0xcb, 0xef, 0x2f, 0xf6, 0x01, 0xfc, 0xc3,
-	0xea, 0x86, 0xe3, 0x29, 0x2f, 0xf3, 0xd3, 0xae, 0x54, 0xf8, 0xd6, 0xfc, 0xe4, 0xbe, 0xfd, 0xb4,
-	0xcf, 0xfe, 0x05, 0x00, 0x00, 0xff, 0xff, 0x24, 0xc3, 0x1d, 0x24, 0x21, 0x03, 0x00, 0x00,
+	// 547 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0xcd, 0x6e, 0xd3, 0x40,
+	0x10, 0x96, 0xeb, 0xd8, 0x6d, 0xc6, 0x69, 0x55, 0xad, 0xf8, 0xb1, 0x5c, 0x7e, 0x52, 0x83, 0x50,
+	0x2e, 0xa4, 0x4a, 0x7a, 0x41, 0x82, 0x4b, 0x5a, 0x38, 0x00, 0xaa, 0x2a, 0x59, 0x70, 0xe1, 0x82,
+	0x36, 0xf6, 0xb4, 0xb5, 0xbc, 0x59, 0xa7, 0xeb, 0x4d, 0x82, 0x5f, 0x87, 0xf7, 0xe0, 0xc1, 0xb8,
+	0xa1, 0xdd, 0x75, 0x82, 0xe3, 0x28, 0x55, 0x2e, 0xd6, 0xfc, 0x7c, 0xb3, 0xf3, 0x7d, 0x33, 0xbb,
+	0x06, 0x0f, 0xb9, 0x14, 0x65, 0x7f, 0x2a, 0x72, 0x99, 0x93, 0xa3, 0x22, 0x2b, 0x19, 0x15, 0x19,
+	0xa3, 0x1c, 0xfb, 0xf3, 0x41, 0xd0, 0x99, 0xe0, 0x64, 0x8c, 0xc2, 0x64, 0x83, 0x0e, 0xc3, 0xe4,
+	0x76, 0xe5, 0x81, 0xa4, 0x45, 0x66, 0xec, 0xf0, 0xaf, 0x05, 0x9d, 0xeb, 0x9b, 0x1b, 0x14, 0x11,
+	0xde, 0xcf, 0xb0, 0x90, 0x64, 0x00, 0x0e, 0xbd, 0x45, 0x2e, 0x7d, 0xab, 0x6b, 0xf5, 0xbc, 0xe1,
+	0x49, 0x7f, 0xfd, 0xe0, 0xfe, 0x67, 0x1e, 0x53, 0xc1, 0xa9, 0x4c, 0x73, 0x1e, 0x19, 0xa4, 0x2a,
+	0xd1, 0x54, 0xfc, 0xbd, 0x1d, 0x4a, 0x34, 0x92, 0xbc, 0x05, 0x57, 0xe6, 0x19, 0xf2, 0xc2, 0xb7,
+	0xbb, 0x76, 0xcf, 0x1b, 0x3e, 0x6e, 0xd6, 0x7c, 0x53, 0xd9, 0xa8, 0x02, 0x91, 0x77, 0x00, 0x31,
+	0x9d, 0xd2, 0x38, 0x95, 0x29, 0x16, 0x7e, 0x4b, 0x97, 0xf8, 0xcd, 0x92, 0x4b, 0x83, 0x28, 0xa3,
+	0x1a, 0x96, 0x04, 0x70, 0x50, 0x28, 0x65, 0x3c, 0x46, 0xdf, 0xe9, 0x5a, 0xbd, 0x56, 0xb4, 0xf2,
+	0xc3, 0xaf, 0x00, 0x95, 0xf4, 0x29, 0x2b, 0x15, 0x32, 0xc1, 0x98, 0xa5, 0x1c, 0x13, 0xad, 0xfd,
+	0x20, 0x5a, 0xf9, 0xe4, 0x14, 0x3a, 0x02, 0xa5, 0x28, 0x7f, 0x4e, 0x52, 0xc6, 0xd2, 0x42, 0x0b,
+	0xb5, 0x23, 0x4f, 0xc7, 0xae, 0x74, 0x28, 0xfc, 0x63, 0xc1, 0xe1, 0x45, 0x2e, 0x44, 0xbe, 0xa8,
+	0x4d, 0xd2, 0x8c, 0xc5, 0xda, 0x79, 0x2c, 0x3e, 0xec, 0x17, 0x28, 0xe6, 0x69, 0x8c, 0xba, 0x45,
+	0x3b, 0x5a, 0xba, 0x84, 0x40, 0x6b, 0x41, 0xb9, 0xf4, 0xed, 0xae, 0xd5, 0x3b, 0x8c, 0xb4, 0xad,
+	0x62, 0x77, 0xc8, 0x12, 0xbf, 0x65, 0x62, 0xca, 0x26, 0x2f, 0xc1, 0x5b, 0xd0, 0x54, 0x2e, 0x89,
+	0x3a, 0x9a, 0x28, 0xa8, 0x90, 0xe1, 0x49, 0x9e, 0x80, 0x7b, 0x3f, 0xc3, 0x19, 0x26, 0xbe, 0xab,
+	0xcb, 0x2a, 0x2f, 0xfc, 0x00, 0xde, 0x92, 0xbe, 0x9a, 0xc6, 0xff, 0x05, 0x59, 0x3b, 0x2c, 0x28,
+	0x9c, 0x43, 0x67, 0xa4, 0x9a, 0x2c, 0xb5, 0x1f, 0x83, 0x9d, 0xa1, 0x51, 0xde, 0x8e, 0x94, 0x49,
+	0xce, 0xc1, 0xbd, 0xcb, 0x59, 0x82, 0x62, 0x97, 0x5b, 0x52, 0x41, 0x9b, 0x6a, 0xec, 0xa6, 0x9a,
+	0xf0, 0x3b, 0x40, 0xd5, 0x57, 0x91, 0x7e, 0x04, 0x4e, 0xc6, 0xf3, 0x05, 0xaf, 0xf6, 0x67, 0x1c,
+	0x32, 0x80, 0xfd, 0x7c, 0x26, 0xe3, 0x7c, 0x82, 0x55, 0xeb, 0xa7, 0xcd, 0xd6, 0xd7, 0x26, 0x1d,
+	0x2d, 0x71, 0xe1, 0x6b, 0x38, 0xbe, 0xa4, 0x3c, 0x46, 0xf6, 0x25, 0x1f, 0x6f, 0x95, 0x14, 0xbe,
+	0x81, 0xa3, 0x1a, 0x6a, 0x2b, 0x81, 0xe1, 0xef, 0x3d, 0x70, 0x3e, 0xe9, 0xfd, 0x8e, 0xc0, 0xd1,
+	0x37, 0x8e, 0x3c, 0xdb, 0xa0, 0x50, 0x7b, 0x83, 0x41, 0xb0, 0x25, 0xab, 0x5a, 0x7c, 0x04, 0xd7,
+	0xec, 0x89, 0x3c, 0x6f, 0xa2, 0xd6, 0xae, 0x5f, 0x70, 0xb2, 0x2d, 0xad, 0x4e, 0x19, 0x81, 0xa3,
+	0xe7, 0xb6, 0x49, 0xa4, 0xbe, 0xc6, 0x4d, 0x22, 0xb5, 0x61, 0x5f, 0x41, 0x7b, 0xa5, 0x9e, 0x74,
+	0x37, 0x1f, 0xe3, 0xfa, 0xf8, 0x82, 0x17, 0x0f, 0x20, 0xa6, 0xac, 0xbc, 0x78, 0xf5, 0xe3, 0xb4,
+	0x0e, 0xc0, 0x5f, 0x74, 0x32, 0x65, 0x78, 0xc6, 0xd2, 0xf1, 0xd9, 0x22, 0x15, 0xf8, 0x5e, 0x7d,
+	0xc6, 0xae, 0xfe, 0x69, 0x9d, 0xff, 0x0b, 0x00, 0x00, 0xff, 0xff, 0xdb, 0x91, 0x61, 0x0f, 0xfb,
+	0x04, 0x00, 0x00,
 }
