--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -40,9 +40,13 @@
 	if err != nil {
 		return err
 	}
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("entry")
 	defer metrics.Close()
-	client := process.NewClient()
+	client := security.Client()
 	listener, err := process.Listen(cfg.GetListen())
 	if err != nil {
 		return err
@@ -57,7 +61,7 @@
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
 	e := New(follower, records, client, limitsOf(cfg), policy, log, metrics)
-	server := process.New(listener, e.Handler(), log)
+	server := process.New(security.Listener(listener), security.Guard(e.Handler()), log)
 	ready(server.Address(), "")
 	e.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
