--- a/lib/entry/answer.go
+++ b/lib/entry/answer.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"time"
 
 	"skylarklane.example/lib/wire"
 )
@@ -27,14 +29,28 @@
 	Detail  string `json:"detail,omitempty"`
 	Outcome string `json:"outcome,omitempty"`
 	Reason  string `json:"reason"`
+	// Field of the submission that is at fault.
+	Field string `json:"field,omitempty"`
 }
 
 func problem(w http.ResponseWriter, status int, outcome, reason, detail string) {
+	writeProblem(w, problemBody{Status: status, Detail: detail, Outcome: outcome, Reason: reason})
+}
+
+// refuse answers a submission none of whose tasks has started or can start.
+func refuse(w http.ResponseWriter, r *refusal) {
+	if r.retryAfter > 0 {
+		seconds := (r.retryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	writeProblem(w, problemBody{Status: r.status, Detail: r.detail, Outcome: "notRun", Reason: r.reason, Field: r.field})
+}
+
+func writeProblem(w http.ResponseWriter, body problemBody) {
+	body.Title = http.StatusText(body.Status)
 	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problemBody{
-		Title: http.StatusText(status), Status: status, Detail: detail, Outcome: outcome, Reason: reason,
-	})
+	w.WriteHeader(body.Status)
+	_ = json.NewEncoder(w).Encode(body)
 }
 
 func writeRecord(w http.ResponseWriter, key string, record *wire.Record) {
@@ -47,9 +63,17 @@
 	_ = json.NewEncoder(w).Encode(map[string]string{"key": key, "state": "running"})
 }
 
+// failedStatus returns the HTTP status of a failed job.
+func failedStatus(outcome *wire.Outcome) int {
+	if outcome.GetReason() == reasonDeadline {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
 func writeOutcome(w http.ResponseWriter, key string, outcome *wire.Outcome) {
 	if outcome.GetKind() != wire.OutcomeKind_OUTCOME_KIND_COMPLETE {
-		problem(w, http.StatusBadGateway, "failed", outcome.GetReason(), outcome.GetDetail())
+		problem(w, failedStatus(outcome), "failed", outcome.GetReason(), outcome.GetDetail())
 		return
 	}
 	body := answer{Key: key, Outcome: "complete"}
--- a/lib/entry/dispatcher.go
+++ b/lib/entry/dispatcher.go
@@ -44,6 +44,8 @@
 	order   uint64
 	budget  quota.Budget
 	leaving bool
+	// drained is closed when the last job of a leaving entry has ended.
+	drained chan struct{}
 	// work counts the goroutines of starts.
 	work sync.WaitGroup
 }
@@ -63,6 +65,7 @@
 		budget:   quota.NewBudget(),
 
 		startedAt: time.Now(),
+		drained:   make(chan struct{}),
 	}
 }
 
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -11,6 +11,7 @@
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/wire"
 )
 
@@ -36,11 +37,33 @@
 	}
 }
 
-// Run works until ctx ends.
+// Run works until ctx ends. It then takes no new work and returns once the jobs
+// at hand are done, or the time for a graceful shutdown is over.
 func (e *Entry) Run(ctx context.Context) {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
 	keep := &keeper{d: e.dispatcher}
-	go keep.loop(ctx)
-	e.follower.Run(ctx)
+	go keep.loop(life)
+	go e.run(life)
+	<-ctx.Done()
+	e.drain(life)
+}
+
+// run belongs to the system until ctx ends.
+func (e *Entry) run(ctx context.Context) { e.follower.Run(ctx) }
+
+// drain announces that this entry leaves and waits for its jobs.
+func (e *Entry) drain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
+	defer cancel()
+	drained := e.dispatcher.drain()
+	e.follower.Leave(ctx)
+	select {
+	case <-drained:
+	case <-ctx.Done():
+		e.log.Warn("Jobs are still running at the end of the shutdown time.")
+	}
+	e.dispatcher.giveBack(ctx)
 }
 
 // Handler serves callers.
@@ -57,7 +80,10 @@
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if !e.follower.Current() {
+	switch {
+	case !e.follower.Current():
 		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
+	case e.dispatcher.draining():
+		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 	}
 }
--- a/lib/entry/finish.go
+++ b/lib/entry/finish.go
@@ -51,6 +51,7 @@
 		delete(d.jobs, r.key)
 	}
 	close(r.done)
+	d.checkDrained()
 }
 
 // cancelStarted stops the started tasks of a job, with one call for each
--- a/lib/entry/job.go
+++ b/lib/entry/job.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"time"
 
 	"skylarklane.example/lib/placement"
@@ -66,8 +65,6 @@
 	// server and startedAt are set while it is started.
 	server    *server
 	startedAt time.Time
-	// lost ends the wait for an agent that is gone.
-	lost context.CancelFunc
 }
 
 // expectedAt returns the expected run time at the server that runs the task.
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"skylarklane.example/lib/slot"
@@ -40,25 +39,11 @@
 			return
 		case <-changed:
 		case <-ticker.C:
-			p.keep(ctx)
+			callAll(ctx, p.due(time.Now()))
 		}
 	}
 }
 
-// keep makes one round over the agents that need a call.
-func (p *keeper) keep(ctx context.Context) {
-	var calls sync.WaitGroup
-	places := make(chan struct{}, claimsAtOnce)
-	for _, c := range p.due(time.Now()) {
-		places <- struct{}{}
-		calls.Go(func() {
-			defer func() { <-places }()
-			c.run(ctx)
-		})
-	}
-	calls.Wait()
-}
-
 // due returns the calls to make now.
 func (p *keeper) due(now time.Time) []*claim {
 	p.d.mu.Lock()
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -68,6 +68,9 @@
 
 // lend gives idle tokens to the entries that wait for some.
 func (d *dispatcher) lend(k *desk) {
+	if len(k.borrowers) == 0 {
+		return
+	}
 	now := time.Now()
 	for _, b := range k.borrowers {
 		n := min(placement.Lend(k.demand(), b.demand()), int(b.request.GetWant())-len(b.tokens), maxBorrow)
--- a/lib/slot/book.go
+++ b/lib/slot/book.go
@@ -156,11 +156,8 @@
 	switch {
 	case s == nil || s.state != busy:
 		return nil
-	case s.closing:
-		b.drop(s)
-		return nil
-	case s.queued || s.holder != idOf(entry):
-		b.free(s)
+	case s.closing || s.queued || s.holder != idOf(entry):
+		b.end(s)
 		return nil
 	}
 	b.lease(s, s.holder)
@@ -211,6 +208,15 @@
 	b.signal()
 }
 
+// end frees a slot that was busy, or drops it where it is closing.
+func (b *Book) end(s *slot) {
+	if s.closing {
+		b.slots = slices.DeleteFunc(b.slots, func(other *slot) bool { return other == s })
+		return
+	}
+	b.free(s)
+}
+
 func (b *Book) close(server string) {
 	for _, s := range b.slotsOf(server) {
 		s.closing = true
@@ -223,10 +229,6 @@
 	b.slots = slices.DeleteFunc(b.slots, func(s *slot) bool { return s.closing && s.state != busy })
 }
 
-func (b *Book) drop(gone *slot) {
-	b.slots = slices.DeleteFunc(b.slots, func(s *slot) bool { return s == gone })
-}
-
 func (b *Book) slotsOf(server string) []*slot {
 	var own []*slot
 	for _, s := range b.slots {
--- a/lib/slot/offer.go
+++ b/lib/slot/offer.go
@@ -78,11 +78,16 @@
 // are gone.
 func (o *Offerer) follow() {
 	known := map[entryID]*target{}
+	live := map[entryID]bool{}
 	for _, member := range o.directory.Directory().GetMembers() {
-		if member.GetRole() != wire.Role_ROLE_ENTRY || member.GetLeaving() {
+		if member.GetRole() != wire.Role_ROLE_ENTRY {
 			continue
 		}
 		id := idOf(member.GetIncarnation())
+		live[id] = true
+		if member.GetLeaving() {
+			continue
+		}
 		t := o.entries[id]
 		if t == nil {
 			t = &target{}
@@ -91,7 +96,7 @@
 		known[id] = t
 	}
 	o.entries = known
-	o.book.Retain(func(who *wire.Incarnation) bool { return known[idOf(who)] != nil })
+	o.book.Retain(func(who *wire.Incarnation) bool { return live[idOf(who)] })
 }
 
 // offer splits the free slots over the entries that take offers, and tells all
--- a/lib/slot/queue.go
+++ b/lib/slot/queue.go
@@ -53,7 +53,7 @@
 	b.waiting = slices.DeleteFunc(b.waiting, func(other *waiter) bool { return other == w })
 	select {
 	case s := <-w.slot:
-		b.free(s)
+		b.end(s)
 	default:
 	}
 }
--- a/lib/slot/random_test.go
+++ b/lib/slot/random_test.go
@@ -132,6 +132,8 @@
 	for _, s := range m.book.slots {
 		if s.state == busy {
 			inUse++
+		} else if s.closing {
+			m.t.Fatalf("a slot of %s is closing and runs nothing", s.server)
 		}
 	}
 	if inUse != len(m.busy) {
