Leave in good order: agents and entries finish what is in flight

Cause: a signal ended the lease at once, so nothing could be handed over, and requests on idle connections met a closed server. Change: on SIGTERM or an operator's drain an agent closes its slots, tells the control group, waits for running tasks and until no view names it; an entry refuses new submissions after asking the ledger for the key, finishes its jobs and closes callers' connections while it lingers. Leases are renewed until the end. A task ends at its deadline or on Cancel. Ruled out: SetKeepAlivesEnabled(false), which closes idle connections under a request that is on its way.

--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -12,6 +12,7 @@
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/slot"
 	"skylarklane.example/lib/task"
 	"skylarklane.example/lib/wire"
@@ -23,13 +24,15 @@
 	replica  *ledger.Replica
 	book     *slot.Book
 	table    *task.Table
+	running  *running
+	gate     *process.Gate
 	registry *backend.Registry
 	runner   *backend.Runner
 	log      *slog.Logger
 	metrics  *metric.Registry
 }
 
-// New returns an agent.
+// New returns an agent. Run keeps it.
 func New(follower *membership.Follower, replica *ledger.Replica, runner *backend.Runner, log *slog.Logger, metrics *metric.Registry) *Agent {
 	self := follower.Member().GetIncarnation()
 	book := slot.New(self)
@@ -38,7 +41,9 @@
 		replica:  replica,
 		book:     book,
 		table:    task.New(self),
-		registry: backend.New(book),
+		running:  newRunning(),
+		gate:     process.NewGate(),
+		registry: backend.New(book, metrics.Scope(), log),
 		runner:   runner,
 		log:      log,
 		metrics:  metrics,
@@ -50,8 +55,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a))
 	mux.Handle(wire.LedgerPathPrefix, wire.NewLedgerServer(a.replica))
-	mux.Handle("/metrics", a.metrics.Handler())
-	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.Handle("GET /metrics", a.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", a.ready)
 	return mux
 }
 
@@ -67,14 +73,17 @@
 
 // Start implements wire.Agent. The task goes on where the caller is lost.
 func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
+	if !a.gate.Enter() {
+		return notStarted("agentLeaving"), nil
+	}
+	defer a.gate.Leave()
 	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
 	if !ok {
-		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "voidToken"}, nil
+		return notStarted("voidToken"), nil
 	}
 	reply := a.table.Begin(q)
 	if reply == nil {
-		reply = a.runner.Run(context.WithoutCancel(ctx), a.registry.URL(server), q)
-		a.table.End(q, reply)
+		reply = a.run(ctx, server, q)
 	}
 	reply.Token = a.book.Return(q.GetCoordinator(), q.GetToken())
 	return reply, nil
@@ -88,6 +97,7 @@
 // Cancel implements wire.Agent.
 func (a *Agent) Cancel(_ context.Context, q *wire.CancelRequest) (*wire.CancelReply, error) {
 	a.table.Cancel(q)
+	a.running.cancel(q)
 	return &wire.CancelReply{}, nil
 }
 
@@ -101,3 +111,25 @@
 	a.table.Forget(q)
 	return &wire.ForgetReply{}, nil
 }
+
+// run sends a task that the table has let through to its backend server.
+func (a *Agent) run(ctx context.Context, server string, q *wire.StartRequest) *wire.StartReply {
+	ctx = a.running.begin(ctx, q)
+	defer a.running.end(q)
+	reply := a.runner.Run(ctx, a.registry.URL(server), q)
+	a.table.End(q, reply)
+	return reply
+}
+
+func (a *Agent) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case a.gate.Closed():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !a.follower.Current():
+		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
+	}
+}
+
+func notStarted(reason string) *wire.StartReply {
+	return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: reason}
+}
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
+	"net/http"
 
 	"skylarklane.example/lib/backend"
 	"skylarklane.example/lib/ledger"
@@ -27,38 +29,74 @@
 	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves one worker until ctx ends. It calls ready once it listens.
+// Run serves one worker until ctx ends or an operator drains it, and then
+// leaves in good order. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.AgentSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
 	security, err := process.LoadSecurity(cfg.GetSecurity())
 	if err != nil {
 		return err
 	}
 	metrics := metric.New("agent")
 	defer metrics.Close()
-	client := security.Client()
-	listener, err := process.Listen(cfg.GetListen())
+	listener, announceListener, err := listen(cfg)
 	if err != nil {
 		return err
 	}
+	a := newAgent(cfg, process.Advertised(cfg.GetAdvertise(), listener), security.Client(), log, metrics)
+	handler := security.Guard(process.WithDrain(a.Handler(), drain))
+	server := process.New(security.Listener(listener), handler, log)
+	announce := process.New(announceListener, a.AnnounceHandler(), log)
+	stop := a.start(context.WithoutCancel(ctx))
+	defer stop()
+	ready(server.Address(), announce.Address())
+	<-ctx.Done()
+	return a.shutdown(context.WithoutCancel(ctx), announce, server)
+}
+
+// listen opens both addresses of an agent.
+func listen(cfg *wire.AgentSettings) (listener, announce net.Listener, err error) {
+	listener, err = process.Listen(cfg.GetListen())
+	if err != nil {
+		return nil, nil, err
+	}
+	announce, err = process.Listen(cfg.GetAnnounce())
+	if err != nil {
+		_ = listener.Close()
+		return nil, nil, err
+	}
+	return listener, announce, nil
+}
+
+func newAgent(cfg *wire.AgentSettings, address string, client *http.Client, log *slog.Logger, metrics *metric.Registry) *Agent {
 	member := &wire.Member{
 		Incarnation: membership.NewIncarnation(cfg.GetId()),
 		Role:        wire.Role_ROLE_AGENT,
-		Address:     process.Advertised(cfg.GetAdvertise(), listener),
+		Address:     address,
 		DataCentre:  cfg.GetDataCentre(),
 		Rack:        cfg.GetRack(),
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	replica := ledger.New(member.GetIncarnation(), follower, client)
-	a := New(follower, replica, backend.NewRunner(process.NewClient()), log, metrics)
-	server := process.New(security.Listener(listener), security.Guard(a.Handler()), log)
-	announceListener, err := process.Listen(cfg.GetAnnounce())
-	if err != nil {
-		server.Close()
-		return err
-	}
-	announce := process.New(announceListener, a.AnnounceHandler(), log)
-	ready(server.Address(), announce.Address())
-	follower.Run(ctx)
-	_ = announce.Shutdown(context.WithoutCancel(ctx))
-	return server.Shutdown(context.WithoutCancel(ctx))
+	return New(follower, replica, backend.NewRunner(backend.NewClient()), log, metrics)
+}
+
+// start runs the parts that work by themselves until the returned function is
+// called.
+func (a *Agent) start(ctx context.Context) context.CancelFunc {
+	ctx, stop := context.WithCancel(ctx)
+	go a.follower.Run(ctx)
+	go a.registry.Run(ctx)
+	return stop
+}
+
+// shutdown leaves and then closes both servers. The lease is renewed until the
+// end, so that the shards can move.
+func (a *Agent) shutdown(ctx context.Context, announce, server *process.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
+	defer cancel()
+	a.Leave(ctx)
+	_ = announce.Shutdown(ctx)
+	return server.Shutdown(ctx)
 }
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -10,6 +10,7 @@
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/wire"
 )
 
@@ -22,6 +23,7 @@
 	log        *slog.Logger
 	metrics    *metric.Registry
 	limits     *wire.EntryLimits
+	gate       *process.Gate
 }
 
 // New returns an entry.
@@ -35,6 +37,7 @@
 		log:        log,
 		metrics:    metrics,
 		limits:     limits,
+		gate:       process.NewGate(),
 	}
 }
 
@@ -52,11 +55,14 @@
 	mux.Handle("/metrics", e.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", e.ready)
-	return mux
+	return process.CloseConnections(e.gate, mux)
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if !e.follower.Current() {
+	switch {
+	case e.gate.Closed():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !e.follower.Current():
 		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
 	}
 }
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -33,8 +33,11 @@
 	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves as one entry until ctx ends. It calls ready once it listens.
+// Run serves as one entry until ctx ends or an operator drains it, and then
+// leaves in good order. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger, ready process.ReadyFunc) error {
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
 	security, err := process.LoadSecurity(cfg.GetSecurity())
 	if err != nil {
 		return err
@@ -56,10 +59,21 @@
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
 	e := New(follower, records, client, limitsOf(cfg), log, metrics)
-	server := process.New(security.Listener(listener), security.Guard(e.Handler()), log)
+	server := process.New(security.Listener(listener), security.Guard(process.WithDrain(e.Handler(), drain)), log)
 	ready(server.Address(), "")
-	e.Run(ctx)
-	return server.Shutdown(context.WithoutCancel(ctx))
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go e.Run(running)
+	<-ctx.Done()
+	return e.shutdown(running, server)
+}
+
+// shutdown leaves and then closes the server.
+func (e *Entry) shutdown(ctx context.Context, server *process.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
+	defer cancel()
+	e.Leave(ctx)
+	return server.Shutdown(ctx)
 }
 
 func limitsOf(cfg *wire.EntrySettings) *wire.EntryLimits {
--- a/lib/entry/submit.go
+++ b/lib/entry/submit.go
@@ -39,5 +39,10 @@
 		spec.Payloads = append(spec.Payloads, task.Payload)
 	}
 	digest := sha256.Sum256(append([]byte(spec.GetService()+"\n"+spec.GetTeam()+"\n"), body...))
+	if !e.gate.Enter() {
+		e.refuseLeaving(r.Context(), w, key)
+		return
+	}
+	defer e.gate.Leave()
 	e.answer(r.Context(), w, key, digest[:], spec)
 }
--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -13,7 +13,7 @@
 
 // ShutdownTimeout bounds how long a graceful shutdown waits for requests in
 // flight.
-const ShutdownTimeout = 30 * time.Second
+const ShutdownTimeout = 60 * time.Second
 
 // readHeaderTimeout bounds how long a client may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
