Commands status, workers, submit and drain, with tables or JSON

Run: go vet ./..., the commands' help and exit codes by hand. Cause: operators could see the members only and callers at a shell could not submit.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -22,6 +22,9 @@
 	Check   cmdCheck   `cmd:"" help:"Check settings and service files."`
 	Publish cmdPublish `cmd:"" help:"Put the service files below a folder into force."`
 	Status  cmdStatus  `cmd:"" help:"Show the state of the system."`
+	Workers cmdWorkers `cmd:"" help:"Show the workers and their backend servers."`
+	Submit  cmdSubmit  `cmd:"" help:"Submit a job and print its answer."`
+	Drain   cmdDrain   `cmd:"" help:"Ask an entry or agent to leave."`
 	Version cmdVersion `cmd:"" help:"Print the version."`
 
 	Completion cmdCompletion `cmd:"" help:"Print a completion script for a shell."`
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -12,21 +12,152 @@
 // cmdStatus is `skylarklane status --control 127.0.0.1:7000`.
 type cmdStatus struct {
 	Control string `help:"Address of a control host, IP:port." required:""`
+	outputFlag
 }
 
-// Run prints the members as a table.
+// systemStatus is the state of the whole system as one control host tells it.
+type systemStatus struct {
+	Control          controlStatus  `json:"control"`
+	ConfigVersion    uint64         `json:"configVersion"`
+	DirectoryVersion uint64         `json:"directoryVersion"`
+	Services         []string       `json:"services"`
+	Members          []memberStatus `json:"members"`
+	// Shards of the ledger, and how many of them have fewer than two members.
+	Shards      int `json:"shards"`
+	ThinShards  int `json:"thinShards"`
+	DeadMembers int `json:"deadMembers"`
+}
+
+// controlStatus is the state of the asked control host.
+type controlStatus struct {
+	ID          string `json:"id"`
+	Leader      string `json:"leader"`
+	Term        uint64 `json:"term"`
+	CommitIndex uint64 `json:"commitIndex"`
+}
+
+// memberStatus is the state of one entry or agent.
+type memberStatus struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	Role        string `json:"role"`
+	Address     string `json:"address"`
+	DataCentre  string `json:"dataCentre"`
+	Rack        string `json:"rack"`
+	Leaving     bool   `json:"leaving"`
+	// LeaseLeftMillis is how long the member's lease stands.
+	LeaseLeftMillis int64 `json:"leaseLeftMillis"`
+	// Primaries and Backups count the ledger's shards that the member keeps.
+	Primaries int `json:"primaries"`
+	Backups   int `json:"backups"`
+}
+
+// Run prints the state of the system.
 func (c *cmdStatus) Run(e *env) error {
-	reply, err := wire.NewControlProtobufClient("http://"+c.Control, e.client).Status(e.ctx, &wire.StatusRequest{})
+	reply, err := askStatus(e, "status", c.Control)
+	if err != nil {
+		return err
+	}
+	s := newSystemStatus(reply)
+	title := fmt.Sprintf("control host %s, leader %s, term %d, commit index %d\nconfiguration version %d, directory version %d, services %v\n%d shards, %d of them with fewer than two members; %d members declared dead",
+		s.Control.ID, orDash(s.Control.Leader), s.Control.Term, s.Control.CommitIndex,
+		s.ConfigVersion, s.DirectoryVersion, s.Services, s.Shards, s.ThinShards, s.DeadMembers)
+	return c.print(e, s, table{title: title}, membersTable(s.Members))
+}
+
+// askStatus asks a control host for the state of the system.
+func askStatus(e *env, op, control string) (*wire.StatusReply, error) {
+	reply, err := wire.NewControlProtobufClient("http://"+control, e.client).Status(e.ctx, &wire.StatusRequest{})
 	if err != nil {
-		return &Error{Op: "status", Kind: KindFailed, Err: eris.Wrap(err, "the control host did not answer")}
+		return nil, &Error{Op: op, Kind: KindFailed, Err: eris.Wrap(err, "the control host did not answer")}
+	}
+	return reply, nil
+}
+
+func newSystemStatus(reply *wire.StatusReply) systemStatus {
+	directory := reply.GetDirectory()
+	s := systemStatus{
+		Control: controlStatus{
+			ID: reply.GetId(), Leader: reply.GetLeader(), Term: reply.GetTerm(), CommitIndex: reply.GetCommitIndex(),
+		},
+		ConfigVersion:    directory.GetConfigVersion(),
+		DirectoryVersion: directory.GetVersion(),
+		Services:         []string{},
+		Members:          []memberStatus{},
+		Shards:           len(directory.GetViews()),
+		DeadMembers:      len(directory.GetDead()),
+	}
+	for _, service := range directory.GetServices() {
+		s.Services = append(s.Services, service.GetName())
+	}
+	for _, view := range directory.GetViews() {
+		if view.GetPrimary() == nil || len(view.GetBackups()) == 0 {
+			s.ThinShards++
+		}
 	}
-	fmt.Fprintf(e.out, "configuration version %d, directory version %d\n", reply.GetDirectory().GetConfigVersion(), reply.GetDirectory().GetVersion())
-	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ID\tROLE\tADDRESS\tDATA CENTRE\tRACK\tLEASE")
 	for _, member := range reply.GetMembers() {
-		m := member.GetMember()
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%dms\n", m.GetIncarnation().GetId(), m.GetRole(), m.GetAddress(),
-			m.GetDataCentre(), m.GetRack(), member.GetLeaseLeftMillis())
+		s.Members = append(s.Members, newMemberStatus(member, directory.GetViews()))
+	}
+	return s
+}
+
+func newMemberStatus(status *wire.MemberStatus, views []*wire.View) memberStatus {
+	m := status.GetMember()
+	s := memberStatus{
+		ID:              m.GetIncarnation().GetId(),
+		Incarnation:     strconv.FormatUint(m.GetIncarnation().GetNumber(), 16),
+		Role:            roleName(m.GetRole()),
+		Address:         m.GetAddress(),
+		DataCentre:      m.GetDataCentre(),
+		Rack:            m.GetRack(),
+		Leaving:         m.GetLeaving(),
+		LeaseLeftMillis: status.GetLeaseLeftMillis(),
+	}
+	for _, view := range views {
+		if view.GetPrimary().GetNumber() == m.GetIncarnation().GetNumber() {
+			s.Primaries++
+		}
+		for _, backup := range view.GetBackups() {
+			if backup.GetNumber() == m.GetIncarnation().GetNumber() {
+				s.Backups++
+			}
+		}
+	}
+	return s
+}
+
+func membersTable(members []memberStatus) table {
+	t := table{header: []string{"ID", "ROLE", "ADDRESS", "DATA CENTRE", "RACK", "STATE", "LEASE", "PRIMARY", "BACKUP"}}
+	for _, m := range members {
+		t.rows = append(t.rows, []string{
+			m.ID, m.Role, m.Address, orDash(m.DataCentre), orDash(m.Rack), stateName(m.Leaving),
+			fmt.Sprintf("%dms", m.LeaseLeftMillis), strconv.Itoa(m.Primaries), strconv.Itoa(m.Backups),
+		})
+	}
+	return t
+}
+
+func roleName(role wire.Role) string {
+	switch role {
+	case wire.Role_ROLE_ENTRY:
+		return "entry"
+	case wire.Role_ROLE_AGENT:
+		return "agent"
+	default:
+		return "unknown"
+	}
+}
+
+func stateName(leaving bool) string {
+	if leaving {
+		return "leaving"
+	}
+	return "serving"
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
 	}
-	return w.Flush()
+	return s
 }
--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -58,6 +58,7 @@
 	mux.Handle("GET /metrics", a.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", a.ready)
+	mux.HandleFunc("GET "+StatusPath, a.serveStatus)
 	return mux
 }
 
--- /dev/null
+++ b/lib/agent/status.go
@@ -0,0 +1,26 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"skylarklane.example/lib/backend"
+)
+
+// StatusPath is where operators read the state of a worker.
+const StatusPath = "/v1/admin/worker"
+
+// Status is the state of one worker.
+type Status struct {
+	// Running is how many tasks run.
+	Running        int              `json:"running"`
+	Leaving        bool             `json:"leaving"`
+	BackendServers []backend.Status `json:"backendServers"`
+}
+
+func (a *Agent) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Status{
+		Running: a.gate.Inside(), Leaving: a.gate.Closed(), BackendServers: a.registry.Statuses(),
+	})
+}
--- /dev/null
+++ b/lib/backend/status.go
@@ -0,0 +1,33 @@
+package backend
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Status is what is known of one backend server.
+type Status struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	URL     string `json:"url"`
+	Slots   int    `json:"slots"`
+	// SilentMillis is how long ago the server announced itself, in
+	// milliseconds.
+	SilentMillis int64 `json:"silentMillis"`
+}
+
+// Statuses returns the known servers, sorted by id.
+func (g *Registry) Statuses() []Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	found := []Status{}
+	for id, s := range g.servers {
+		found = append(found, Status{
+			ID: id, Service: s.announcement.Service, URL: s.announcement.URL, Slots: s.announcement.Slots,
+			SilentMillis: time.Since(s.heardAt).Milliseconds(),
+		})
+	}
+	slices.SortFunc(found, func(a, b Status) int { return strings.Compare(a.ID, b.ID) })
+	return found
+}
