--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -35,7 +35,7 @@
 // securityFlags name the files that guard an operator's connections.
 type securityFlags struct {
 	Certificate string `help:"Certificate of the caller (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_CERTIFICATE"`
-	Key         string `help:"Key of the certificate (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_KEY"`
+	Key         string `help:"Key of the certificate (PEM)." name:"key-file" placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_KEY"`
 	Authority   string `help:"Certificate of the authority (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_AUTHORITY"`
 	TokenFile   string `help:"File with the operator token." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_TOKEN_FILE"`
 }
