--- a/lib/entry/admission.go
+++ b/lib/entry/admission.go
@@ -99,10 +99,7 @@
 	defer d.mu.Unlock()
 	d.follow()
 	if d.leaving {
-		return &refusal{
-			status: http.StatusServiceUnavailable, reason: "shuttingDown", retryAfter: shortRetry,
-			detail: "this entry is shutting down",
-		}
+		return leavingRefusal()
 	}
 	k := d.desks[spec.GetService()]
 	if r := d.absent(k, spec.GetService(), now); r != nil {
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -23,6 +23,7 @@
 	log        *slog.Logger
 	metrics    *metric.Registry
 	limits     *wire.EntryLimits
+	gate       *process.Gate
 }
 
 // New returns an entry.
@@ -34,36 +35,15 @@
 		log:        log,
 		metrics:    metrics,
 		limits:     limits,
+		gate:       process.NewGate(),
 	}
 }
 
-// Run works until ctx ends. It then takes no new work and returns once the jobs
-// at hand are done, or the time for a graceful shutdown is over.
+// Run works until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
-	life, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
 	keep := &keeper{d: e.dispatcher}
-	go keep.loop(life)
-	go e.run(life)
-	<-ctx.Done()
-	e.drain(life)
-}
-
-// run belongs to the system until ctx ends.
-func (e *Entry) run(ctx context.Context) { e.follower.Run(ctx) }
-
-// drain announces that this entry leaves and waits for its jobs.
-func (e *Entry) drain(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
-	defer cancel()
-	drained := e.dispatcher.drain()
-	e.follower.Leave(ctx)
-	select {
-	case <-drained:
-	case <-ctx.Done():
-		e.log.Warn("Jobs are still running at the end of the shutdown time.")
-	}
-	e.dispatcher.giveBack(ctx)
+	go keep.loop(ctx)
+	e.follower.Run(ctx)
 }
 
 // Handler serves callers.
@@ -72,18 +52,18 @@
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.submit)
 	mux.HandleFunc("GET /v1/jobs/{key}", e.show)
 	mux.HandleFunc("GET /v1/admin/status", e.status)
-	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(e))
+	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(e, e.metrics.Hooks()))
 	mux.Handle("/metrics", e.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", e.ready)
-	return mux
+	return process.CloseConnections(e.gate, mux)
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
+	case e.gate.Closed():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !e.follower.Current():
 		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
-	case e.dispatcher.draining():
-		http.Error(w, "shutting down", http.StatusServiceUnavailable)
 	}
 }
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"skylarklane.example/lib/slot"
@@ -125,3 +126,37 @@
 		}
 	}
 }
+
+// withdraw ends the taking of tokens; idle ones go back to their agents.
+func (d *dispatcher) withdraw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = true
+}
+
+// giveBack returns the idle tokens to their agents.
+func (d *dispatcher) giveBack(ctx context.Context) {
+	d.mu.Lock()
+	var calls []*claim
+	for _, a := range d.fleet.agents {
+		if c := d.claimOf(a, time.Now()); c != nil {
+			calls = append(calls, c)
+		}
+	}
+	d.mu.Unlock()
+	callAll(ctx, calls)
+}
+
+// callAll makes calls, a bounded number of them at once.
+func callAll(ctx context.Context, calls []*claim) {
+	var group sync.WaitGroup
+	places := make(chan struct{}, claimsAtOnce)
+	for _, c := range calls {
+		places <- struct{}{}
+		group.Go(func() {
+			defer func() { <-places }()
+			c.run(ctx)
+		})
+	}
+	group.Wait()
+}
--- a/lib/entry/submit.go
+++ b/lib/entry/submit.go
@@ -55,6 +55,11 @@
 		refuse(w, refused)
 		return
 	}
+	if !e.gate.Enter() {
+		e.refuseUnheld(r.Context(), w, s, leavingRefusal())
+		return
+	}
+	defer e.gate.Leave()
 	e.answer(r.Context(), w, s)
 }
 
--- a/lib/slot/book.go
+++ b/lib/slot/book.go
@@ -126,6 +126,7 @@
 		return
 	}
 	b.close(server)
+	b.dismiss()
 	b.touch()
 }
 
--- a/lib/slot/queue.go
+++ b/lib/slot/queue.go
@@ -27,6 +27,9 @@
 	}
 	select {
 	case s := <-w.slot:
+		if s == nil {
+			return "", 0, false
+		}
 		return s.server, s.number, true
 	case <-ctx.Done():
 		b.quit(w)
@@ -37,8 +40,7 @@
 func (b *Book) join(w *waiter) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known := slices.ContainsFunc(b.slots, func(s *slot) bool { return s.service == w.service && !s.closing })
-	if !known || len(b.waiting) >= maxWaiting {
+	if !b.serves(w.service) || len(b.waiting) >= maxWaiting {
 		return false
 	}
 	b.waiting = append(b.waiting, w)
@@ -53,11 +55,28 @@
 	b.waiting = slices.DeleteFunc(b.waiting, func(other *waiter) bool { return other == w })
 	select {
 	case s := <-w.slot:
-		b.end(s)
+		if s != nil {
+			b.end(s)
+		}
 	default:
 	}
 }
 
+// dismiss sends the starts away whose service has no slot any more.
+func (b *Book) dismiss() {
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+		if b.serves(w.service) {
+			return false
+		}
+		w.slot <- nil
+		return true
+	})
+}
+
+func (b *Book) serves(service string) bool {
+	return slices.ContainsFunc(b.slots, func(s *slot) bool { return s.service == service && !s.closing })
+}
+
 // serve gives free slots to the starts that wait, in order.
 func (b *Book) serve() {
 	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
