--- a/lib/entry/dispatcher.go
+++ b/lib/entry/dispatcher.go
@@ -10,7 +10,6 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/quota"
 	"skylarklane.example/lib/wire"
@@ -25,9 +24,16 @@
 	defaultDeadline = time.Minute
 )
 
+// members is what a dispatcher needs to know of the system.
+type members interface {
+	Member() *wire.Member
+	Directory() *wire.Directory
+	Changed() <-chan struct{}
+}
+
 // dispatcher queues the tasks of jobs and starts them on tokens.
 type dispatcher struct {
-	follower *membership.Follower
+	follower members
 	client   *http.Client
 	policy   placement.Policy
 	log      *slog.Logger
@@ -48,7 +54,7 @@
 	work sync.WaitGroup
 }
 
-func newDispatcher(follower *membership.Follower, client *http.Client, policy placement.Policy, log *slog.Logger, scope tally.Scope) *dispatcher {
+func newDispatcher(follower members, client *http.Client, policy placement.Policy, log *slog.Logger, scope tally.Scope) *dispatcher {
 	return &dispatcher{
 		follower: follower,
 		client:   client,
--- /dev/null
+++ b/lib/entry/fake_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/slot"
+	"skylarklane.example/lib/wire"
+)
+
+// fakeMembers is a directory that tests change by hand.
+type fakeMembers struct {
+	self *wire.Member
+
+	mu        sync.Mutex
+	directory *wire.Directory
+	changed   chan struct{}
+}
+
+func newMembers(id string) *fakeMembers {
+	self := &wire.Member{Incarnation: &wire.Incarnation{Id: id, Number: 1}, Role: wire.Role_ROLE_ENTRY}
+	return &fakeMembers{self: self, directory: &wire.Directory{}, changed: make(chan struct{})}
+}
+
+func (m *fakeMembers) Member() *wire.Member { return m.self }
+
+func (m *fakeMembers) Directory() *wire.Directory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.directory
+}
+
+func (m *fakeMembers) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// set puts a directory with these members and services into force.
+func (m *fakeMembers) set(all []*wire.Member, services ...*wire.Service) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.directory = &wire.Directory{Version: m.directory.GetVersion() + 1, Members: all, Services: services}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// fakeAgent is an agent whose tasks are functions.
+type fakeAgent struct {
+	wire.Agent
+	member *wire.Member
+	book   *slot.Book
+	run    func(q *wire.StartRequest) *wire.StartReply
+	ask    func(q *wire.AskRequest) *wire.AskReply
+
+	mu        sync.Mutex
+	cancelled []*wire.CancelRequest
+}
+
+// startAgent serves an agent with slots for the service sizing.
+func startAgent(t testing.TB, id string, slots int, run func(q *wire.StartRequest) *wire.StartReply) *fakeAgent {
+	a := &fakeAgent{run: run}
+	server := httptest.NewServer(wire.NewAgentServer(a))
+	t.Cleanup(server.Close)
+	incarnation := &wire.Incarnation{Id: id, Number: 1}
+	a.member = &wire.Member{Incarnation: incarnation, Role: wire.Role_ROLE_AGENT, Address: server.Listener.Addr().String()}
+	a.book = slot.New(incarnation)
+	a.book.Open(id+"/server", "sizing", slots)
+	return a
+}
+
+func (a *fakeAgent) Start(_ context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
+	if _, ok := a.book.Take(q.GetCoordinator(), q.GetToken()); !ok {
+		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "voidToken"}, nil
+	}
+	reply := a.run(q)
+	token := a.book.Return(q.GetCoordinator(), q.GetToken())
+	if reply == nil {
+		panic(http.ErrAbortHandler)
+	}
+	reply.Token = token
+	return reply, nil
+}
+
+func (a *fakeAgent) Claim(_ context.Context, q *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return a.book.Claim(q), nil
+}
+
+func (a *fakeAgent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
+	return a.ask(q), nil
+}
+
+func (a *fakeAgent) Cancel(_ context.Context, q *wire.CancelRequest) (*wire.CancelReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelled = append(a.cancelled, q)
+	return &wire.CancelReply{}, nil
+}
+
+// offerAll brings all free slots of an agent to a dispatcher.
+func offerAll(d *dispatcher, a *fakeAgent, sequence uint64) {
+	tokens := a.book.Split([]*wire.Incarnation{d.self})[d.self]
+	d.offer(&wire.OfferRequest{
+		Agent: a.member.GetIncarnation(), Entry: d.self, Tokens: tokens,
+		Capacities: a.book.Capacities(), Sequence: sequence,
+	})
+}
+
+// done is the reply of a task that went well.
+func done(*wire.StartRequest) *wire.StartReply {
+	return &wire.StartReply{State: wire.TaskState_TASK_STATE_DONE, Result: []byte("1"), RunMicros: 10}
+}
+
+func sizing() *wire.Service {
+	return &wire.Service{Name: "sizing", Kinds: []*wire.Kind{
+		{Name: "finCheck", Urgency: wire.Urgency_URGENCY_URGENT, ExpectedRunMillis: 50, DeadlineMillis: 60000},
+		{Name: "report", Urgency: wire.Urgency_URGENCY_BATCH, ExpectedRunMillis: 50, DeadlineMillis: 60000},
+	}}
+}
+
+// newTestDispatcher returns a dispatcher that holds all slots of the agents.
+func newTestDispatcher(t testing.TB, agents ...*fakeAgent) (*dispatcher, *fakeMembers) {
+	m := newMembers("entry1")
+	all := []*wire.Member{m.self}
+	for _, a := range agents {
+		all = append(all, a.member)
+	}
+	m.set(all, sizing())
+	d := newDispatcher(m, process.NewClient(), placement.Tokens{}, slog.New(slog.DiscardHandler), tally.NoopScope)
+	for _, a := range agents {
+		offerAll(d, a, 1)
+	}
+	t.Cleanup(d.work.Wait)
+	return d, m
+}
+
+// jobOf is a job of n tasks.
+func jobOf(key, kind string, n int) Job {
+	spec := &wire.JobSpec{Service: "sizing", Kind: kind}
+	for i := range n {
+		spec.Payloads = append(spec.Payloads, fmt.Appendf(nil, "%d", i))
+	}
+	return Job{Key: key, Spec: spec}
+}
