Tests of queue order, limits, deadlines, lost contact and ejection

Found by them and mended: a backend server that its agent can't reach was tried again at once; a retry above the budget failed its job, it now waits; a task stopped at its deadline by the agent counted against its server.

go test -race ./lib/entry ./lib/slot ./lib/placement ./lib/quota passes.

--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -103,13 +103,29 @@
 	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.tasks}
 }
 
+// lacks tells whether a task could start now if there were a slot.
+func (k *desk) lacks() bool {
+	return k.pool.usable() == 0 && k.queue.startable()
+}
+
+// fasterSlots are the busy slots at workers that are much faster than the best
+// idle one, gathered once for one look at the queue.
+type fasterSlots struct {
+	server *server
+	busy   []placement.Busy
+}
+
 // waits tells whether t should rather wait for a faster worker than h's.
-func (k *desk) waits(t *task, h *held, ahead int, now time.Time) bool {
+func (f *fasterSlots) waits(k *desk, t *task, h *held, ahead int, now time.Time) bool {
 	factor := h.server.speed.Value()
 	if time.Duration(float64(t.expected)*factor) < shortRun {
 		return false
 	}
-	return placement.Waits(t.expected, factor, k.faster(factor, now), ahead)
+	if f.server != h.server {
+		f.server = h.server
+		f.busy = k.faster(factor, now)
+	}
+	return placement.Waits(t.expected, factor, f.busy, ahead)
 }
 
 // faster returns the busy slots at workers that are much faster than factor.
--- a/lib/entry/dispatcher.go
+++ b/lib/entry/dispatcher.go
@@ -151,7 +151,7 @@
 			d.fail(r, reasonUnknown)
 		}
 	}
-	if r.left == 0 {
+	if r.left == 0 && !r.ended() {
 		d.complete(r)
 	}
 	var tasks []*task
@@ -205,6 +205,7 @@
 func (d *dispatcher) dispatch(k *desk) {
 	now := time.Now()
 	var waiting []*task
+	var look fasterSlots
 	for k.pool.idle > 0 && len(waiting) < maxLook {
 		t := k.queue.next()
 		if t == nil {
@@ -215,7 +216,7 @@
 			k.queue.push(t)
 			break
 		}
-		if k.waits(t, h, len(waiting), now) {
+		if look.waits(k, t, h, len(waiting), now) {
 			k.pool.put(h)
 			waiting = append(waiting, t)
 			continue
@@ -228,7 +229,7 @@
 	if len(waiting) > 0 {
 		d.lookAgain(k)
 	}
-	if k.queue.tasks > len(waiting) {
+	if k.lacks() {
 		d.borrow(k)
 	}
 }
--- /dev/null
+++ b/lib/entry/dispatcher_test.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+const complete = wire.OutcomeKind_OUTCOME_KIND_COMPLETE
+
+// recorder keeps the order of starts and holds tasks until it is opened.
+type recorder struct {
+	mu     sync.Mutex
+	order  []string
+	opened chan struct{}
+}
+
+func newRecorder() *recorder { return &recorder{opened: make(chan struct{})} }
+
+func (r *recorder) run(q *wire.StartRequest) *wire.StartReply {
+	r.mu.Lock()
+	r.order = append(r.order, q.GetJob())
+	r.mu.Unlock()
+	<-r.opened
+	return done(q)
+}
+
+func (r *recorder) starts() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.order)
+}
+
+// eventually waits until condition holds.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("still not so")
+		}
+	}
+}
+
+// queued waits until n tasks wait.
+func queuedTasks(t *testing.T, d *dispatcher, n int) {
+	t.Helper()
+	eventually(t, func() bool {
+		s := d.status().Services
+		return len(s) == 1 && s[0].QueuedTasks == n
+	})
+}
+
+func TestOrderOfTheQueue(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	d, m := newTestDispatcher(t, startAgent(t, "worker1", 1, r.run))
+	m.mu.Lock()
+	m.directory.Teams = []*wire.Team{{Name: "limited", MaxRunning: 1}}
+	m.mu.Unlock()
+	var group sync.WaitGroup
+	submit := func(key, kind, team string, deadline time.Duration) {
+		job := jobOf(key, kind, 1)
+		job.Spec.Team = team
+		job.Spec.DeadlineMillis = deadline.Milliseconds()
+		group.Go(func() { is.Equal(d.Run(t.Context(), job).GetKind(), complete) })
+	}
+	submit("first", "finCheck", "a", time.Minute)
+	eventually(t, func() bool { return len(r.starts()) == 1 })
+	for n, job := range []struct {
+		key, kind, team string
+		deadline        time.Duration
+	}{
+		{"batch", "report", "a", time.Minute},
+		{"late", "finCheck", "a", 3 * time.Minute},
+		{"early", "finCheck", "a", 2 * time.Minute},
+		{"other team", "finCheck", "b", 4 * time.Minute},
+	} {
+		submit(job.key, job.kind, job.team, job.deadline)
+		queuedTasks(t, d, n+1)
+	}
+	close(r.opened)
+	group.Wait()
+	// The other team joined last and is level with the first one: its turn is
+	// decided by use, which is equal, and then by name.
+	is.Equal(r.starts(), []string{"first", "early", "other team", "late", "batch"})
+}
+
+func TestTeamStaysBelowItsLimit(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	d, m := newTestDispatcher(t, startAgent(t, "worker1", 8, r.run))
+	m.directory.Teams = []*wire.Team{{Name: "limited", MaxRunning: 2}}
+	job := jobOf("job", "finCheck", 5)
+	job.Spec.Team = "limited"
+	var group sync.WaitGroup
+	group.Go(func() { is.Equal(d.Run(t.Context(), job).GetKind(), complete) })
+	queuedTasks(t, d, 3)
+	eventually(t, func() bool { return len(r.starts()) == 2 })
+	close(r.opened)
+	group.Wait()
+	is.Equal(len(r.starts()), 5)
+}
+
+func TestDeadlineAndCancel(t *testing.T) {
+	cases := []struct {
+		name   string
+		reason string
+		millis int64
+		cancel bool
+	}{
+		{"deadline", reasonDeadline, 30, false},
+		{"cancel", reasonCancelled, 60000, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRecorder()
+			a := startAgent(t, "worker1", 1, r.run)
+			d, _ := newTestDispatcher(t, a)
+			job := jobOf("job", "finCheck", 3)
+			job.Spec.DeadlineMillis = c.millis
+			ctx, cancel := context.WithCancel(t.Context())
+			if c.cancel {
+				go func() {
+					for len(r.starts()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					cancel()
+				}()
+			}
+			outcome := d.Run(ctx, job)
+			cancel()
+			is.Equal(outcome.GetReason(), c.reason)
+			is.Equal(len(outcome.GetResults()), 0)
+			queuedTasks(t, d, 0) // nothing waits any more
+			eventually(t, func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return len(a.cancelled) == 1 // what had started is stopped
+			})
+			close(r.opened)
+			eventually(t, func() bool { return d.status().Services[0].TokensIdle == 1 }) // and the token is back
+		})
+	}
+}
+
+func TestLostContact(t *testing.T) {
+	cases := []struct {
+		name   string
+		state  wire.TaskState
+		kind   wire.OutcomeKind
+		starts int
+	}{
+		{"it never started", wire.TaskState_TASK_STATE_NOT_STARTED, complete, 2},
+		{"it was done", wire.TaskState_TASK_STATE_DONE, complete, 1},
+		{"it failed", wire.TaskState_TASK_STATE_FAILED, wire.OutcomeKind_OUTCOME_KIND_FAILED, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var starts, asks atomic.Int64
+			a := startAgent(t, "worker1", 2, func(q *wire.StartRequest) *wire.StartReply {
+				if starts.Add(1) == 1 {
+					return nil // the connection breaks
+				}
+				return done(q)
+			})
+			a.ask = func(q *wire.AskRequest) *wire.AskReply {
+				is.True(q.GetBar())
+				if asks.Add(1) == 1 {
+					return &wire.AskReply{Tasks: []*wire.TaskStatus{{State: wire.TaskState_TASK_STATE_RUNNING}}}
+				}
+				return &wire.AskReply{Tasks: []*wire.TaskStatus{{State: c.state, Result: []byte("1")}}}
+			}
+			d, _ := newTestDispatcher(t, a)
+			is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 1)).GetKind(), c.kind)
+			is.Equal(int(starts.Load()), c.starts)
+		})
+	}
+}
+
+func TestAgentIsGone(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	a := startAgent(t, "worker1", 1, r.run)
+	d, m := newTestDispatcher(t, a)
+	var group sync.WaitGroup
+	group.Go(func() { is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 2)).GetReason(), reasonLost) })
+	eventually(t, func() bool { return len(r.starts()) == 1 })
+	m.set([]*wire.Member{m.self}, sizing())
+	d.mu.Lock()
+	d.follow()
+	d.mu.Unlock()
+	group.Wait()
+	is.Equal(d.status().Services[0].TokensHeld, 0)
+	close(r.opened)
+}
+
+func TestRefusedDialGoesElsewhere(t *testing.T) {
+	is := is.New(t)
+	dead := httptest.NewServer(nil)
+	gone := startAgent(t, "worker1", 1, done)
+	gone.member.Address = dead.Listener.Addr().String()
+	dead.Close()
+	d, _ := newTestDispatcher(t, gone, startAgent(t, "worker2", 1, done))
+	is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 4)).GetKind(), complete)
+}
+
+func TestVoidTokensGoElsewhere(t *testing.T) {
+	is := is.New(t)
+	a := startAgent(t, "worker1", 4, done)
+	d, _ := newTestDispatcher(t, a, startAgent(t, "worker2", 1, done))
+	a.book.Close("worker1/server")
+	is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 20)).GetKind(), complete)
+}
+
+// TestFailingWorkerGetsNoWork has one of two workers fail everything.
+func TestFailingWorkerGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	bad := startAgent(t, "bad", 4, func(*wire.StartRequest) *wire.StartReply {
+		return &wire.StartReply{State: wire.TaskState_TASK_STATE_FAILED, Reason: reasonFailed}
+	})
+	d, _ := newTestDispatcher(t, bad, startAgent(t, "good", 4, done))
+	failed := 0
+	for n := range 100 {
+		if d.Run(t.Context(), jobOf(fmt.Sprint("job", n), "finCheck", 8)).GetKind() != complete {
+			failed++
+		}
+	}
+	is.True(failed >= 1)
+	is.True(failed < 10) // two jobs and rare trials
+}
+
+func TestSettledTasksDoNotStart(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	close(r.opened)
+	d, _ := newTestDispatcher(t, startAgent(t, "worker1", 2, r.run))
+	job := jobOf("job", "finCheck", 3)
+	job.Settled = []*wire.TaskStatus{
+		{Task: 0, State: wire.TaskState_TASK_STATE_DONE, Result: []byte("kept")},
+		{Task: 1, State: wire.TaskState_TASK_STATE_NOT_STARTED},
+	}
+	outcome := d.Run(t.Context(), job)
+	is.Equal(outcome.GetKind(), complete)
+	is.Equal(string(outcome.GetResults()[0]), "kept")
+	is.Equal(len(r.starts()), 2)
+	job.Settled[1].State = wire.TaskState_TASK_STATE_FAILED
+	is.Equal(d.Run(t.Context(), job).GetKind(), wire.OutcomeKind_OUTCOME_KIND_FAILED)
+	is.Equal(len(r.starts()), 2)
+}
--- a/lib/entry/fleet.go
+++ b/lib/entry/fleet.go
@@ -21,8 +21,10 @@
 
 // agent is what the entry knows of one agent incarnation.
 type agent struct {
+	incarnation *wire.Incarnation
+	client      wire.Agent
+	// member is guarded by the dispatcher's lock, as what follows.
 	member *wire.Member
-	client wire.Agent
 	// alive ends when the directory no longer has the incarnation.
 	alive context.Context
 	dead  context.CancelFunc
@@ -97,13 +99,15 @@
 func (f *fleet) addAgent(id incarnation, member *wire.Member, client *http.Client) {
 	a := f.agents[id]
 	if a == nil {
-		a = &agent{servers: map[string]*server{}, tokens: map[uint64]*held{}}
+		a = &agent{
+			incarnation: member.GetIncarnation(),
+			client:      wire.NewAgentProtobufClient("http://"+member.GetAddress(), client),
+			servers:     map[string]*server{},
+			tokens:      map[uint64]*held{},
+		}
 		a.alive, a.dead = context.WithCancel(context.Background())
 		f.agents[id] = a
 	}
-	if a.member.GetAddress() != member.GetAddress() {
-		a.client = wire.NewAgentProtobufClient("http://"+member.GetAddress(), client)
-	}
 	a.member = member
 }
 
--- a/lib/entry/job.go
+++ b/lib/entry/job.go
@@ -19,12 +19,15 @@
 	Deadline time.Time
 }
 
+// reasonUnreachable is the agent's reason where it could not reach a backend
+// server and so did not start the task.
+const reasonUnreachable = "backendServerUnreachable"
+
 // Reasons why a job fails.
 const (
 	reasonDeadline  = "deadlineExceeded"
 	reasonCancelled = "cancelled"
 	reasonLost      = "agentLost"
-	reasonRetries   = "retryBudgetSpent"
 	reasonUnknown   = "unknownOutcome"
 	reasonFailed    = "taskFailed"
 )
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -56,7 +56,7 @@
 		}
 	}
 	for _, k := range p.d.desks {
-		k.pool.sweep()
+		k.pool.sweep(now)
 		p.d.dispatch(k)
 	}
 	return calls
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -149,7 +149,7 @@
 	defer l.d.mu.Unlock()
 	l.d.follow()
 	demand := l.k.demand()
-	if demand.Queued <= demand.Idle || l.d.fleet.peers[l.id] != l.peer {
+	if !l.k.lacks() || l.d.fleet.peers[l.id] != l.peer {
 		delete(l.k.borrowing, l.id)
 		return nil
 	}
--- a/lib/entry/pool.go
+++ b/lib/entry/pool.go
@@ -129,15 +129,20 @@
 	delete(h.server.agent.tokens, h.token.GetNumber())
 }
 
-// sweep forgets the parked tokens that are void.
-func (p *pool) sweep() {
-	kept := p.parked[:0]
-	for _, h := range p.parked {
-		if !h.gone {
-			kept = append(kept, h)
+// sweep brings the parked tokens back whose servers work again.
+func (p *pool) sweep(now time.Time) {
+	parked := p.parked
+	p.parked = nil
+	for _, h := range parked {
+		switch {
+		case h.gone:
+		case h.server.works(now):
+			p.idle--
+			p.put(h)
+		default:
+			p.parked = append(p.parked, h)
 		}
 	}
-	p.parked = kept
 }
 
 func pop(list *[]*held) *held {
--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -50,6 +50,16 @@
 	return nil
 }
 
+// startable tells whether a task may start.
+func (q *queue) startable() bool {
+	for n := range q.levels {
+		if poorest(q.levels[n]) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // poorest returns the jobs of the team that has used least of its share among
 // those below their limit.
 func poorest(teams map[*team]*jobHeap) *jobHeap {
--- a/lib/entry/start.go
+++ b/lib/entry/start.go
@@ -20,6 +20,8 @@
 	// firstAskDelay and lastAskDelay bound the time between questions.
 	firstAskDelay = 20 * time.Millisecond
 	lastAskDelay  = time.Second
+	// retryDelay holds retries back that are above the budget.
+	retryDelay = 250 * time.Millisecond
 )
 
 // start is one start of a task on its way.
@@ -64,7 +66,7 @@
 		Job:            r.key,
 		Task:           s.t.number,
 		Coordinator:    s.d.self,
-		Agent:          s.t.server.agent.member.GetIncarnation(),
+		Agent:          s.t.server.agent.incarnation,
 		Token:          s.number(),
 		Service:        r.spec.GetService(),
 		Kind:           r.spec.GetKind(),
@@ -91,7 +93,7 @@
 	d.leave(s.t)
 	d.takeBack(s, reply.GetToken())
 	d.judge(s.t, reply)
-	d.dispatchBack(s.t.run.desk)
+	d.proceed(s.t.run)
 }
 
 // judge draws the consequence of how a task ended.
@@ -106,16 +108,30 @@
 		}
 		d.done(t, reply.GetResult())
 	case wire.TaskState_TASK_STATE_NOT_STARTED:
+		if reply.GetReason() == reasonUnreachable {
+			server.health = server.health.WithUnreachable(time.Now())
+		}
 		d.retry(t, reply.GetReason())
 	default:
-		server.failed++
-		if !t.run.ended() {
-			server.health = server.health.WithFailure(t.run.key, time.Now())
-		}
-		d.fail(t.run, reasonOr(reply.GetReason(), reasonFailed))
+		d.failed(t, reasonOr(reply.GetReason(), reasonFailed))
 	}
 }
 
+// failed ends a job for a failed task. A task that the agent has stopped says
+// nothing of its server: its deadline passed.
+func (d *dispatcher) failed(t *task, reason string) {
+	if t.run.ended() {
+		return
+	}
+	if reason == reasonCancelled {
+		d.fail(t.run, reasonDeadline)
+		return
+	}
+	t.server.failed++
+	t.server.health = t.server.health.WithFailure(t.run.key, time.Now())
+	d.fail(t.run, reason)
+}
+
 // refused handles a start that never reached the agent.
 func (d *dispatcher) refused(s *start, reason string) {
 	d.mu.Lock()
@@ -124,7 +140,7 @@
 	d.takeBack(s, nil)
 	s.t.server.agent.suspect(time.Now())
 	d.retry(s.t, reason)
-	d.dispatchBack(s.t.run.desk)
+	d.proceed(s.t.run)
 }
 
 // lost asks the agent what became of a start whose reply did not come. The
@@ -146,7 +162,7 @@
 	default:
 		d.judge(s.t, &wire.StartReply{State: status.GetState(), Result: status.GetResult(), Reason: reasonOr(status.GetReason(), "barred")})
 	}
-	d.dispatchBack(s.t.run.desk)
+	d.proceed(s.t.run)
 }
 
 // ask repeats the question until it is answered, the agent is gone or the job
@@ -176,7 +192,7 @@
 	reply, err := a.client.Ask(ctx, &wire.AskRequest{
 		Job:        s.t.run.key,
 		Tasks:      []uint32{s.t.number},
-		Agent:      a.member.GetIncarnation(),
+		Agent:      a.incarnation,
 		WaitMillis: askWait.Milliseconds(),
 		Bar:        true,
 	})
@@ -197,15 +213,26 @@
 	if r.ended() {
 		return
 	}
+	t.server = nil
+	d.scope.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(1)
 	var ok bool
-	if d.budget, ok = d.budget.WithRetry(); !ok {
-		d.scope.Counter("retry_budget_spent").Inc(1)
-		d.fail(r, reasonRetries)
+	if d.budget, ok = d.budget.WithRetry(); ok {
+		d.again(t)
+		return
+	}
+	d.scope.Counter("retries_delayed").Inc(1)
+	time.AfterFunc(retryDelay, func() { d.againLater(t) })
+}
+
+// againLater queues a task whose retry was above the budget.
+func (d *dispatcher) againLater(t *task) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.run.ended() {
 		return
 	}
-	d.scope.Tagged(map[string]string{"reason": reason}).Counter("retries").Inc(1)
-	t.server = nil
 	d.again(t)
+	d.dispatch(t.run.desk)
 }
 
 // leave ends the account of a started task.
--- a/lib/entry/status.go
+++ b/lib/entry/status.go
@@ -103,7 +103,7 @@
 
 func statusOf(s *server) serverStatus {
 	return serverStatus{
-		Agent:         s.agent.member.GetIncarnation().GetId(),
+		Agent:         s.agent.incarnation.GetId(),
 		BackendServer: s.name,
 		RunTimeFactor: s.speed.Value(),
 		Done:          s.runs,
--- a/lib/entry/tokens.go
+++ b/lib/entry/tokens.go
@@ -135,6 +135,20 @@
 	d.dispatch(k)
 }
 
+// proceed uses what the end of a task has freed. Where its team has a limit,
+// other services may go on too.
+func (d *dispatcher) proceed(r *run) {
+	d.dispatchBack(r.desk)
+	if r.team.account.MaxRunning == 0 || r.team.waiting == 0 {
+		return
+	}
+	for _, k := range d.desks {
+		if k != r.desk {
+			d.dispatch(k)
+		}
+	}
+}
+
 // again queues a task that did not start.
 func (d *dispatcher) again(t *task) {
 	if d.usesTokens() {
--- a/lib/placement/health.go
+++ b/lib/placement/health.go
@@ -34,6 +34,13 @@
 	return h.withTrial(now)
 }
 
+// WithUnreachable returns the health of a server that its agent can't reach: it
+// gets no work until a trial.
+func (h Health) WithUnreachable(now time.Time) Health {
+	h.Failed = max(h.Failed+1, ejectAfter)
+	return h.withTrial(now)
+}
+
 // WithTrial returns the health after a trial has begun.
 func (h Health) WithTrial(now time.Time) Health { return h.withTrial(now) }
 
--- /dev/null
+++ b/lib/placement/placement_test.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const ms = time.Millisecond
+
+func TestParse(t *testing.T) {
+	cases := []struct {
+		name string
+		want Policy
+		fail bool
+	}{
+		{"", Tokens{}, false},
+		{"tokens", Tokens{}, false},
+		{"twoChoices", TwoChoices{}, false},
+		{"random", Random{}, false},
+		{"fastest", nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			policy, err := Parse(c.name)
+			is.Equal(policy, c.want)
+			is.Equal(err != nil, c.fail)
+		})
+	}
+}
+
+func TestWaits(t *testing.T) {
+	fast := []Busy{{FreeIn: 20 * ms, Factor: 1}, {FreeIn: 90 * ms, Factor: 1}}
+	cases := []struct {
+		name   string
+		run    time.Duration
+		factor float64
+		busy   []Busy
+		ahead  int
+		want   bool
+	}{
+		{"nothing faster", 100 * ms, 3, nil, 0, false},
+		{"fast one soon", 100 * ms, 2, fast, 0, true},
+		{"hardly slower", 100 * ms, 1.1, fast, 0, false},
+		{"second in line, still sooner", 100 * ms, 2, fast, 1, true},
+		{"second in line, later", 50 * ms, 2, fast, 1, false},
+		{"third in line", 100 * ms, 9, fast, 2, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(Waits(c.run, c.factor, c.busy, c.ahead), c.want)
+		})
+	}
+}
+
+func TestRemaining(t *testing.T) {
+	cases := []struct{ expected, elapsed, want time.Duration }{
+		{100 * ms, 0, 100 * ms},
+		{100 * ms, 60 * ms, 40 * ms},
+		{100 * ms, 99 * ms, 25 * ms},
+		{100 * ms, time.Second, 25 * ms}, // far above its expected time
+	}
+	for _, c := range cases {
+		is.New(t).Equal(Remaining(c.expected, c.elapsed), c.want)
+	}
+}
+
+func TestLend(t *testing.T) {
+	cases := []struct {
+		name       string
+		own, other Demand
+		want       int
+	}{
+		{"idle lender", Demand{Held: 44, Idle: 44}, Demand{Held: 44, Queued: 10}, 10},
+		{"all of a small surplus", Demand{Held: 44, Idle: 3}, Demand{Held: 44, Queued: 10}, 3},
+		{"nothing idle", Demand{Held: 44}, Demand{Held: 44, Queued: 10}, 0},
+		{"own queue needs them", Demand{Held: 10, Idle: 2, Queued: 2}, Demand{Held: 10, Queued: 1}, 0},
+		{"both short, the other more", Demand{Held: 80, Idle: 20, Queued: 20}, Demand{Held: 8, Queued: 300}, 20},
+		{"both short, alike", Demand{Held: 44, Idle: 1, Queued: 50}, Demand{Held: 44, Queued: 50}, 0},
+		{"not worth a message", Demand{Held: 46, Idle: 2, Queued: 50}, Demand{Held: 42, Queued: 54}, 0},
+		{"the other has enough", Demand{Held: 44, Idle: 44}, Demand{Held: 44, Idle: 4, Queued: 4}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(Lend(c.own, c.other), c.want)
+		})
+	}
+}
+
+func TestFinish(t *testing.T) {
+	cases := []struct {
+		load           Load
+		total, longest time.Duration
+		want           time.Duration
+	}{
+		{Load{Slots: 8}, 80 * ms, 50 * ms, 50 * ms},
+		{Load{Slots: 8}, 800 * ms, 50 * ms, 100 * ms},
+		{Load{Slots: 8, Queued: 1600 * ms, Running: 400 * ms}, 80 * ms, 50 * ms, 300 * ms},
+		{Load{}, 800 * ms, 50 * ms, 50 * ms},
+	}
+	for _, c := range cases {
+		is.New(t).Equal(Finish(c.load, c.total, c.longest), c.want)
+	}
+}
+
+// TestLearn finds the factors of three workers and the run time of a kind that
+// was declared ten times too long.
+func TestLearn(t *testing.T) {
+	is := is.New(t)
+	kind := Declared(time.Second)
+	factors := []float64{1, 2, 4}
+	workers := make([]Average, len(factors))
+	for n := range 600 {
+		w := n % len(factors)
+		noise := 0.8 + 0.4*float64(n%7)/6
+		run := time.Duration(100 * float64(ms) * factors[w] * noise)
+		kind, workers[w] = Learn(kind, workers[w], run)
+	}
+	for w, factor := range factors {
+		got := kind.Value() * workers[w].Value()
+		is.True(math.Abs(got/(0.1*factor)-1) < 0.2) // within a fifth of the truth
+	}
+	is.True(workers[2].Value()/workers[0].Value() > 3)
+}
+
+func TestHealth(t *testing.T) {
+	now := time.Now()
+	once := Health{}.WithFailure("job1", now)
+	twice := once.WithFailure("job2", now)
+	cases := []struct {
+		name    string
+		health  Health
+		after   time.Duration
+		ejected bool
+		mayTry  bool
+	}{
+		{"new", Health{}, 0, false, true},
+		{"one failed job", once, 0, false, true},
+		{"same job again", once.WithFailure("job1", now), 0, false, true},
+		{"two failed jobs", twice, 0, true, false},
+		{"trial", twice, firstTrial, true, true},
+		{"during the trial", twice.WithTrial(now.Add(firstTrial)), firstTrial, true, false},
+		{"trial failed", twice.WithFailure("job3", now), firstTrial, true, false},
+		{"trial went well", twice.WithSuccess(), 0, false, true},
+		{"unreachable", Health{}.WithUnreachable(now), 0, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.health.Ejected(), c.ejected)
+			is.Equal(c.health.MayTry(now.Add(c.after)), c.mayTry)
+		})
+	}
+}
+
+func TestTrialsAreRare(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := Health{}
+	for n := range 40 {
+		h = h.WithFailure(fmt.Sprint("job", n), now)
+		is.True(h.TrialAt.Sub(now) <= lastTrial)
+	}
+	is.Equal(h.TrialAt.Sub(now), lastTrial)
+}
--- /dev/null
+++ b/lib/quota/quota_test.go
@@ -0,0 +1,48 @@
+package quota
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAccount(t *testing.T) {
+	cases := []struct {
+		name    string
+		account Account
+		used    float64
+		may     bool
+	}{
+		{"new", Account{}, 0, true},
+		{"no weight counts as one", Account{}.WithStarted(2), 2, true},
+		{"weight", Account{}.With(4, 0).WithStarted(2), 0.5, true},
+		{"at the limit", Account{}.With(1, 1).WithStarted(1), 1, false},
+		{"below it again", Account{}.With(1, 1).WithStarted(1).WithEnded(), 1, true},
+		{"back after a pause", Account{Used: 1}.WithFloor(5), 5, true},
+		{"back with more used", Account{Used: 9}.WithFloor(5), 9, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.account.Used, c.used)
+			is.Equal(c.account.MayStart(), c.may)
+		})
+	}
+}
+
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget()
+	spent := 0
+	for ok := true; ok; spent++ {
+		b, ok = b.WithRetry()
+	}
+	is.Equal(spent-1, budgetMax)
+	for range 11 {
+		b = b.WithStart()
+	}
+	b, ok := b.WithRetry()
+	is.True(ok) // eleven starts earn a retry
+	_, ok = b.WithRetry()
+	is.True(!ok) // and only one
+}
--- a/lib/slot/offer.go
+++ b/lib/slot/offer.go
@@ -13,10 +13,11 @@
 
 const (
 	offerTimeout = time.Second
-	// offerRetry is how long an entry that declined or failed gets no offer.
+	// offerRetry is how long an entry that did not answer gets no offer.
 	offerRetry = 2 * time.Second
-	// sweepInterval is how often leases are looked through.
-	sweepInterval = time.Second
+	// sweepInterval is how often leases are looked through, and slots offered
+	// again that were declined.
+	sweepInterval = 250 * time.Millisecond
 	// offerSpread spreads the first offers to a new entry, so that the agents
 	// don't all call it at the same moment.
 	offerSpread = 50 * time.Millisecond
@@ -137,8 +138,9 @@
 		t.told = version
 		return
 	}
-	t.notUntil = time.Now().Add(max(offerRetry, time.Duration(reply.GetRetryMillis())*time.Millisecond))
+	t.notUntil = time.Now().Add(time.Duration(reply.GetRetryMillis()) * time.Millisecond)
 	if err != nil {
+		t.notUntil = time.Now().Add(offerRetry)
 		o.log.Warn("An entry did not answer an offer.", "entry", t.member.GetIncarnation().GetId(), "error", err)
 	}
 	o.book.Revoke(request.GetTokens())
