--- /dev/null
+++ b/lib/entry/lend_test.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/wire"
+)
+
+// lender serves only Borrow.
+type lender struct {
+	wire.Entry
+	d *dispatcher
+
+	mu    sync.Mutex
+	calls int
+}
+
+func (l *lender) Borrow(ctx context.Context, q *wire.BorrowRequest) (*wire.BorrowReply, error) {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
+	return l.d.lendTo(ctx, q), nil
+}
+
+// newEntries returns n dispatchers that know each other and the agents.
+func newEntries(t *testing.T, n int, agents ...*fakeAgent) []*lender {
+	var entries []*lender
+	var all []*wire.Member
+	var directories []*fakeMembers
+	for _, a := range agents {
+		all = append(all, a.member)
+	}
+	for i := range n {
+		m := newMembers(fmt.Sprint("entry", i))
+		l := &lender{d: newDispatcher(m, process.NewClient(), placement.Tokens{}, slog.New(slog.DiscardHandler), tally.NoopScope)}
+		server := httptest.NewServer(wire.NewEntryServer(l))
+		t.Cleanup(server.Close)
+		t.Cleanup(l.d.work.Wait)
+		m.self.Address = server.Listener.Addr().String()
+		all = append(all, m.self)
+		entries = append(entries, l)
+		directories = append(directories, m)
+	}
+	for i, m := range directories {
+		m.set(all, sizing())
+		entries[i].d.mu.Lock()
+		entries[i].d.follow()
+		entries[i].d.mu.Unlock()
+	}
+	return entries
+}
+
+func TestBorrowsFromAnIdleEntry(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	a := startAgent(t, "worker1", 8, r.run)
+	entries := newEntries(t, 2, a)
+	offerAll(entries[0].d, a, 1)
+	var group sync.WaitGroup
+	group.Go(func() {
+		is.Equal(entries[1].d.Run(t.Context(), jobOf("job", "finCheck", 6)).GetKind(), complete)
+	})
+	eventually(t, func() bool { return len(r.starts()) == 6 })
+	is.Equal(entries[0].calls, 1) // one call for all
+	is.Equal(entries[0].d.status().Services[0].TokensHeld, 2)
+	close(r.opened)
+	group.Wait()
+	is.Equal(entries[1].d.status().Services[0].TokensHeld, 6)
+}
+
+// TestEntriesShareTheSlots keeps two entries busy, one of which had all slots.
+func TestEntriesShareTheSlots(t *testing.T) {
+	is := is.New(t)
+	a := startAgent(t, "worker1", 8, done)
+	entries := newEntries(t, 2, a)
+	offerAll(entries[0].d, a, 1)
+	var group sync.WaitGroup
+	for n, l := range entries {
+		for i := range 50 {
+			key := fmt.Sprint(n, "-", i)
+			group.Go(func() {
+				is.Equal(l.d.Run(t.Context(), jobOf(key, "finCheck", 20)).GetKind(), complete)
+			})
+		}
+	}
+	group.Wait()
+	eventually(t, func() bool { // none is lost, and none held twice, once the last are passed on
+		held, idle := 0, 0
+		for _, l := range entries {
+			s := l.d.status().Services[0]
+			held += s.TokensHeld
+			idle += s.TokensIdle
+		}
+		return held == 8 && idle == 8
+	})
+}
