load run: open-loop callers, judge and clairvoyant ideal over child processes

Cause: response against the ideal, messages and broken promises could not be measured. Change: an experiment (YAML) names workers, mix and cells; load starts control, agents and entries from bin/, sends the same trace to each placement at its intended times, holds answers against the stand-ins' starts, and writes JSON, tables and a plot. The ideal is the job alone and one clairvoyant central queue on the same trace.

--- /dev/null
+++ b/load/internal/cmd/cmd.go
@@ -0,0 +1,51 @@
+// Package cmd holds the commands of the load tool.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+
+	"skylarklane.example/lib/process"
+)
+
+// commands are the command line of the program.
+type commands struct {
+	Run    cmdRun    `cmd:"" help:"Run an experiment and write its result as JSON, tables and a plot."`
+	Report cmdReport `cmd:"" help:"Render results as Markdown tables."`
+	Agents cmdAgents `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
+}
+
+// env is what the commands share.
+type env struct {
+	ctx  context.Context
+	args []string
+	out  io.Writer
+	err  io.Writer
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, err io.Writer) int {
+	var c commands
+	parser, failure := kong.New(&c, kong.Name("load"),
+		kong.Description("Runs the system from bin/ on loopback with stand-in backend servers, and measures it."),
+		kong.Writers(out, err))
+	if failure != nil {
+		fmt.Fprintf(err, "load: %v\n", failure)
+		return process.ExitFailed
+	}
+	parsed, failure := parser.Parse(args)
+	if failure != nil {
+		fmt.Fprintf(err, "load: %v\n", failure)
+		return process.ExitUsage
+	}
+	ctx, cancel := process.SignalContext()
+	defer cancel()
+	if failure := parsed.Run(&env{ctx: ctx, args: args, out: out, err: err}); failure != nil {
+		fmt.Fprintf(err, "load: %v\n", failure)
+		return process.ExitFailed
+	}
+	return process.ExitOK
+}
--- /dev/null
+++ b/load/internal/experiment/cell.go
@@ -0,0 +1,169 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"skylarklane.example/lib/wire"
+	"skylarklane.example/load/internal/caller"
+	"skylarklane.example/load/internal/fleet"
+	"skylarklane.example/load/internal/judge"
+	"skylarklane.example/load/internal/report"
+	"skylarklane.example/load/internal/trace"
+)
+
+const (
+	// settle lets learned capacities spread before the first job.
+	settle = 2 * time.Second
+	// flush is longer than the metrics' report interval.
+	flush            = 1500 * time.Millisecond
+	progressInterval = 5 * time.Second
+	controls         = 1
+)
+
+// run is one cell while it runs.
+type run struct {
+	runner     *Runner
+	experiment *wire.Experiment
+	cell       *wire.Cell
+	fleet      *fleet.Fleet
+	jobs       []trace.Job
+}
+
+func (n *Runner) runCell(ctx context.Context, experiment *wire.Experiment, one *wire.Cell, placement string) report.Cell {
+	c := report.Cell{
+		Name: one.GetName(), Placement: placement, Entries: entriesOf(experiment, one), LoadAverage: report.LoadAverage(),
+		Seconds: float64(one.GetDurationMillis()) / 1000,
+	}
+	r := &run{runner: n, experiment: experiment, cell: one, jobs: trace.Generate(experiment, one, placement)}
+	f, err := fleet.New(ctx, r.options(placement))
+	if err != nil {
+		c.Error = err.Error()
+		return c
+	}
+	defer f.Close()
+	r.fleet = f
+	if err := f.WaitReady(ctx); err != nil {
+		c.Error = err.Error()
+		return c
+	}
+	time.Sleep(settle)
+	return r.measure(ctx, c)
+}
+
+func (r *run) measure(ctx context.Context, c report.Cell) report.Cell {
+	countersBefore, usesBefore := r.fleet.Counters(ctx), r.uses()
+	before := len(r.fleet.Starts())
+	answers := r.call(ctx)
+	usesAfter := r.uses()
+	time.Sleep(flush)
+	starts := r.fleet.Starts()[before:]
+	c.Jobs, c.Tasks = len(r.jobs), trace.Tasks(r.jobs)
+	c.OfferedLoad = trace.Work(r.jobs).Seconds() / c.Seconds / trace.Capacity(r.experiment.GetWorkers())
+	c.Verdict = judge.New(answers, starts)
+	c.Uses = usesBetween(usesBefore, usesAfter)
+	c = c.WithCounters(r.fleet.Counters(ctx).Without(countersBefore))
+	healthy := r.experiment.GetWorkers()[r.cell.GetFailing():]
+	c = c.WithAnswers(answers, r.jobs, healthy, time.Duration(r.experiment.GetWarmUpMillis())*time.Millisecond)
+	all := c.Urgency("all")
+	r.runner.say("  %d jobs, %d complete, p50 %.1f ms (queue %.1f), p99 %.1f ms (queue %.1f), %+v",
+		c.Jobs, all.Jobs, all.Response.P50, all.Central.P50, all.Response.P99, all.Central.P99, c.Verdict)
+	return c
+}
+
+// call sends the trace while the cell's faults come about.
+func (r *run) call(ctx context.Context) []caller.Answer {
+	c := caller.New(r.fleet.EntryAddresses(), r.jobs)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.loop(ctx, c)
+	if at := r.cell.GetCancelAtMillis(); at > 0 {
+		timer := time.AfterFunc(time.Duration(at)*time.Millisecond, c.CancelAll)
+		defer timer.Stop()
+	}
+	if at := r.cell.GetKillEntryAtMillis(); at > 0 {
+		timer := time.AfterFunc(time.Duration(at)*time.Millisecond, r.fleet.Entries[0].Kill)
+		defer timer.Stop()
+	}
+	return c.Run(ctx)
+}
+
+// loop writes progress lines.
+func (r *run) loop(ctx context.Context, c *caller.Caller) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			sent, done := c.Progress()
+			r.runner.say("  %d of %d jobs sent, %d answered", sent, len(r.jobs), done)
+		}
+	}
+}
+
+func (r *run) options(placement string) fleet.Options {
+	return fleet.Options{
+		Bin:        r.runner.bin,
+		Controls:   controls,
+		Entries:    entriesOf(r.experiment, r.cell),
+		Placement:  placement,
+		Workers:    r.experiment.GetWorkers(),
+		Failing:    int(r.cell.GetFailing()),
+		Stragglers: int(r.cell.GetStragglers()),
+		Services:   r.services(),
+		Teams:      r.experiment.GetTeams(),
+		Delay:      time.Duration(r.experiment.GetDelayMicros()) * time.Microsecond,
+	}
+}
+
+// services are those of the experiment, with the time scale and the error of
+// the cell on their declared run times.
+func (r *run) services() []*wire.Service {
+	factor := r.experiment.GetTimeScale()
+	if r.cell.GetDeclaredError() > 0 {
+		factor *= r.cell.GetDeclaredError()
+	}
+	var all []*wire.Service
+	for _, service := range r.experiment.GetServices() {
+		service = proto.Clone(service).(*wire.Service)
+		for _, kind := range service.GetKinds() {
+			kind.ExpectedRunMillis = max(1, int64(float64(kind.GetExpectedRunMillis())*factor))
+			kind.DeadlineMillis = int64(float64(kind.GetDeadlineMillis()) * r.experiment.GetTimeScale())
+		}
+		all = append(all, service)
+	}
+	return all
+}
+
+func (r *run) uses() []fleet.Usage {
+	var all []fleet.Usage
+	for _, p := range r.fleet.Processes() {
+		usage, _ := p.Usage()
+		usage.Name = p.Name
+		all = append(all, usage)
+	}
+	return all
+}
+
+func usesBetween(before, after []fleet.Usage) []report.Use {
+	var all []report.Use
+	for n, u := range after {
+		if u.At.IsZero() {
+			continue // the process is gone
+		}
+		u = u.Since(before[n])
+		all = append(all, report.Use{Name: u.Name, CPUSeconds: u.CPU.Seconds(), RSSBytes: u.RSS, Bytes: u.Bytes})
+	}
+	return all
+}
+
+func entriesOf(experiment *wire.Experiment, cell *wire.Cell) int {
+	if cell.GetEntries() > 0 {
+		return int(cell.GetEntries())
+	}
+	return int(experiment.GetEntries())
+}
--- /dev/null
+++ b/load/internal/fleet/agents.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+
+	"skylarklane.example/lib/agent"
+	"skylarklane.example/lib/standin"
+	"skylarklane.example/lib/wire"
+)
+
+const racksOfThree = 3
+
+// RunAgents runs n agents with a stand-in each in this process until ctx ends,
+// and logs their addresses once all listen.
+func RunAgents(ctx context.Context, n, slots int, service string, control []string, log *slog.Logger) {
+	var all sync.WaitGroup
+	announces := make(chan string, n)
+	for i := range n {
+		all.Go(func() { runAgent(ctx, i, slots, service, control, announces) })
+	}
+	var list []string
+	for range n {
+		list = append(list, <-announces)
+	}
+	log.Info("Ready.", "announces", list)
+	all.Wait()
+}
+
+func runAgent(ctx context.Context, n, slots int, service string, control []string, announces chan<- string) {
+	cfg := &wire.AgentSettings{
+		Id:       fmt.Sprintf("hosted%d", n+1),
+		Listen:   "127.0.0.1:0",
+		Announce: "127.0.0.1:0",
+		Rack:     fmt.Sprintf("rack%d", n/racksOfThree),
+		Control:  control,
+	}
+	ready := func(_, announce string) {
+		server, err := standin.New(standin.Options{
+			ID: fmt.Sprintf("backend%d", n+1), Service: service, Agent: announce, Slots: slots, Speed: 1, Quiet: true,
+		})
+		if err == nil {
+			go server.Run(ctx)
+		}
+		announces <- announce
+	}
+	_ = agent.Run(ctx, cfg, slog.New(slog.DiscardHandler), ready)
+}
--- /dev/null
+++ b/load/internal/fleet/process.go
@@ -0,0 +1,138 @@
+// Package fleet runs the programs of the system as child processes of the load
+// tool, with stand-in backend servers, and reads what they use.
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	stopTimeout  = 5 * time.Second
+	keptLogLines = 40
+)
+
+// Process is one child process.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	ready   chan readyLine
+	exited  chan struct{}
+	line    readyLine
+
+	mu  sync.Mutex
+	log []string
+}
+
+// readyLine is the log line by which a program says that it serves.
+type readyLine struct {
+	Message  string `json:"msg"`
+	Address  string `json:"address"`
+	Announce string `json:"announce"`
+	// Announces are the addresses of many agents in one process.
+	Announces []string `json:"announces"`
+}
+
+// Start runs a program and waits until it is ready.
+func Start(name, program string, args ...string) (*Process, error) {
+	p := &Process{
+		Name:    name,
+		command: exec.Command(program, args...),
+		ready:   make(chan readyLine, 1),
+		exited:  make(chan struct{}),
+	}
+	output, err := p.command.StderrPipe()
+	if err != nil {
+		return nil, &Error{Op: "start " + name, Kind: KindProgram, Err: err}
+	}
+	if err := p.command.Start(); err != nil {
+		return nil, &Error{Op: "start " + name, Kind: KindProgram, Err: eris.Wrap(err, "run make build first")}
+	}
+	go p.run(output)
+	return p, p.waitReady()
+}
+
+// startDaemon writes the settings into folder and runs a program of the system.
+func startDaemon(bin, folder, part, name, settings string) (*Process, error) {
+	file := filepath.Join(folder, name+".yaml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		return nil, &Error{Op: "start " + name, Kind: KindProgram, Err: err}
+	}
+	return Start(name, filepath.Join(bin, part), "--log-json", file)
+}
+
+// Address is where the process serves, host:port.
+func (p *Process) Address() string { return p.line.Address }
+
+// Kill ends the process at once and waits for it.
+func (p *Process) Kill() {
+	_ = p.command.Process.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Stop ends the process gracefully, and at once where that takes too long.
+func (p *Process) Stop() {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-time.After(stopTimeout):
+		p.Kill()
+	}
+}
+
+// Log returns the last log lines.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.log, "\n")
+}
+
+func (p *Process) waitReady() error {
+	select {
+	case p.line = <-p.ready:
+		return nil
+	case <-p.exited:
+		return &Error{Op: "start " + p.Name, Kind: KindProgram, Err: eris.Errorf("ended before it was ready:\n%s", p.Log())}
+	case <-time.After(readyTimeout):
+		p.Kill()
+		return &Error{Op: "start " + p.Name, Kind: KindTimeout, Err: eris.Errorf("not ready in time:\n%s", p.Log())}
+	}
+}
+
+func (p *Process) run(output io.Reader) {
+	defer close(p.exited)
+	lines := bufio.NewScanner(output)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		p.take(lines.Text())
+	}
+	_ = p.command.Wait()
+}
+
+func (p *Process) take(text string) {
+	p.mu.Lock()
+	p.log = append(p.log, text)
+	if len(p.log) > keptLogLines {
+		p.log = p.log[1:]
+	}
+	p.mu.Unlock()
+	var line readyLine
+	if json.Unmarshal([]byte(text), &line) != nil || !strings.HasSuffix(line.Message, ": Ready.") {
+		return
+	}
+	select {
+	case p.ready <- line:
+	default:
+	}
+}
--- a/load/main.go
+++ b/load/main.go
@@ -2,11 +2,11 @@
 package main
 
 import (
-	"fmt"
 	"os"
+
+	"skylarklane.example/load/internal/cmd"
 )
 
 func main() {
-	fmt.Fprintln(os.Stderr, "load: not built yet")
-	os.Exit(1)
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
