load slopes: use of each role against agents and entries

Change: idle and busy phases at several sizes, with many agents in one process, a line through the points, and the memory of a ledger record.

--- a/load/internal/cmd/cmd.go
+++ b/load/internal/cmd/cmd.go
@@ -14,6 +14,7 @@
 // commands are the command line of the program.
 type commands struct {
 	Run    cmdRun    `cmd:"" help:"Run an experiment and write its result as JSON, tables and a plot."`
+	Slopes cmdSlopes `cmd:"" help:"Measure processor time, memory and messages of each role against the number of agents and entries."`
 	Report cmdReport `cmd:"" help:"Render results as Markdown tables."`
 	Agents cmdAgents `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
 }
--- a/load/internal/experiment/cell.go
+++ b/load/internal/experiment/cell.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// settle lets learned capacities spread before the first job.
-	settle = 2 * time.Second
 	// flush is longer than the metrics' report interval.
 	flush            = 1500 * time.Millisecond
 	progressInterval = 5 * time.Second
@@ -49,7 +47,7 @@
 		c.Error = err.Error()
 		return c
 	}
-	time.Sleep(settle)
+	f.WaitCalm(ctx)
 	return r.measure(ctx, c)
 }
 
--- a/load/internal/fleet/fleet.go
+++ b/load/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/standin"
 	"skylarklane.example/lib/wire"
 )
@@ -57,6 +59,7 @@
 type Fleet struct {
 	options  Options
 	folder   string
+	client   *http.Client
 	cancel   context.CancelFunc
 	servers  sync.WaitGroup
 	Controls []*Process
@@ -74,7 +77,7 @@
 		return nil, &Error{Op: "start", Kind: KindProgram, Err: eris.Wrap(err, "no temporary folder")}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	f := &Fleet{options: options, folder: folder, cancel: cancel}
+	f := &Fleet{options: options, folder: folder, client: process.NewClient(), cancel: cancel}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -86,6 +89,7 @@
 func (f *Fleet) Close() {
 	f.cancel()
 	f.servers.Wait()
+	f.client.CloseIdleConnections()
 	var stops sync.WaitGroup
 	for _, p := range f.Processes() {
 		stops.Go(p.Stop)
--- a/load/internal/fleet/publish.go
+++ b/load/internal/fleet/publish.go
@@ -12,7 +12,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/wire"
 )
 
@@ -20,6 +19,7 @@
 	publishTimeout = 30 * time.Second
 	callTimeout    = 2 * time.Second
 	pause          = 50 * time.Millisecond
+	calm           = 2 * time.Second
 )
 
 // publish puts the services into force.
@@ -33,14 +33,12 @@
 // Publish sends one change until a control host has accepted it, and returns
 // the version.
 func (f *Fleet) Publish(ctx context.Context, changeID string, base uint64, services []*wire.Service) (uint64, error) {
-	client := process.NewClient()
-	defer client.CloseIdleConnections()
 	request := &wire.PublishRequest{
 		ChangeId: changeID, BaseVersion: base, Author: "load", Services: services, Teams: f.options.Teams,
 	}
 	for n := 0; ; n++ {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		control := wire.NewControlProtobufClient("http://"+f.Controls[n%len(f.Controls)].Address(), client)
+		control := wire.NewControlProtobufClient("http://"+f.Controls[n%len(f.Controls)].Address(), f.client)
 		reply, err := control.Publish(call, request)
 		cancel()
 		if err == nil && reply.GetAccepted() {
@@ -73,6 +71,38 @@
 	return nil
 }
 
+// WaitCalm waits until the directory has not changed for a while, so that
+// what is measured next is not the start of the system. It gives up quietly.
+func (f *Fleet) WaitCalm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	version, since := f.directoryVersion(ctx), time.Now()
+	for ctx.Err() == nil && time.Since(since) < calm {
+		time.Sleep(pause)
+		if now := f.directoryVersion(ctx); now != version {
+			version, since = now, time.Now()
+		}
+	}
+}
+
+// directoryVersion is the newest that a control host tells.
+func (f *Fleet) directoryVersion(ctx context.Context) uint64 {
+	newest := uint64(0)
+	for n := range f.Controls {
+		if status, err := f.Status(ctx, n); err == nil {
+			newest = max(newest, status.GetDirectory().GetVersion())
+		}
+	}
+	return newest
+}
+
+// Status asks control host n.
+func (f *Fleet) Status(ctx context.Context, n int) (*wire.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return wire.NewControlProtobufClient("http://"+f.Controls[n].Address(), f.client).Status(ctx, &wire.StatusRequest{})
+}
+
 // probe sends a job of one short task and returns ok or what came back.
 func (f *Fleet) probe(ctx context.Context, entry, key string) string {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- /dev/null
+++ b/load/internal/slope/runner.go
@@ -0,0 +1,114 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"skylarklane.example/lib/wire"
+	"skylarklane.example/load/internal/fleet"
+	"skylarklane.example/load/internal/report"
+)
+
+const (
+	service = "sizing"
+	kind    = "airflowLookup"
+	// slots of each stand-in.
+	slots = 8
+	// jobTasks is the number of tasks in a job of the busy phase.
+	jobTasks = 100
+	// busyCallers is the number of callers for each entry.
+	busyCallers = 8
+	warmUp      = 2 * time.Second
+	flush       = 1500 * time.Millisecond
+	deadline    = 30_000
+	maxTasks    = 460
+)
+
+// Size is one size of the system.
+type Size struct {
+	Agents, Entries, Controls int
+}
+
+// Runner measures points.
+type Runner struct {
+	bin      string
+	window   time.Duration
+	progress io.Writer
+}
+
+// New returns a runner whose phases last window each.
+func New(bin string, window time.Duration, progress io.Writer) *Runner {
+	return &Runner{bin: bin, window: window, progress: progress}
+}
+
+// Run measures an idle and a busy point for each size.
+func (n *Runner) Run(ctx context.Context, sizes []Size) []Point {
+	var points []Point
+	for _, size := range sizes {
+		if ctx.Err() != nil {
+			break
+		}
+		points = append(points, n.size(ctx, size)...)
+	}
+	return points
+}
+
+func (n *Runner) size(ctx context.Context, size Size) []Point {
+	n.say("%d agents, %d entries, %d control hosts", size.Agents, size.Entries, size.Controls)
+	f, err := fleet.New(ctx, fleet.Options{
+		Bin: n.bin, Controls: size.Controls, Entries: size.Entries, Hosted: size.Agents, HostedSlots: slots, Services: services(),
+	})
+	if err != nil {
+		return []Point{size.point(Idle).withError(err)}
+	}
+	defer f.Close()
+	if err := f.WaitReady(ctx); err != nil {
+		return []Point{size.point(Idle).withError(err)}
+	}
+	f.WaitCalm(ctx)
+	idle := n.phase(ctx, f, size.point(Idle), func() { time.Sleep(n.window) })
+	flood := newFlood(f.EntryAddresses(), service, kind, "busy", jobTasks)
+	flood.runFor(ctx, busyCallers*size.Entries, 0, warmUp)
+	flood.done.Store(0)
+	flood.failed.Store(0)
+	busy := n.phase(ctx, f, size.point(Busy), func() { flood.runFor(ctx, busyCallers*size.Entries, 0, n.window) })
+	busy.JobsPerSecond = float64(flood.done.Load()) / busy.Seconds
+	busy.StartsPerSecond = busy.JobsPerSecond * jobTasks
+	busy.Failed = int(flood.failed.Load())
+	n.say("  %.0f starts/s, %d jobs not complete", busy.StartsPerSecond, busy.Failed)
+	return []Point{idle, busy.withCosts()}
+}
+
+// phase reads what every process uses while work runs.
+func (n *Runner) phase(ctx context.Context, f *fleet.Fleet, p Point, work func()) Point {
+	p.LoadAverage = report.LoadAverage()
+	before := readAll(ctx, f)
+	begin := time.Now()
+	work()
+	p.Seconds = time.Since(begin).Seconds()
+	after := readAll(ctx, f)
+	p.Roles = rolesBetween(before, after, p)
+	return p
+}
+
+func (n *Runner) say(format string, args ...any) {
+	fmt.Fprintf(n.progress, time.Now().Format(time.TimeOnly)+" "+format+"\n", args...)
+}
+
+func (s Size) point(phase string) Point {
+	return Point{Agents: s.Agents, Entries: s.Entries, Controls: s.Controls, Phase: phase}
+}
+
+func (p Point) withError(err error) Point {
+	p.Error = err.Error()
+	return p
+}
+
+func services() []*wire.Service {
+	return []*wire.Service{{Name: service, Kinds: []*wire.Kind{{
+		Name: kind, Urgency: wire.Urgency_URGENCY_URGENT, Idempotent: true,
+		ExpectedRunMillis: 1, DeadlineMillis: deadline, MaxTasks: maxTasks,
+	}}}}
+}
--- /dev/null
+++ b/load/internal/slope/table.go
@@ -0,0 +1,89 @@
+package slope
+
+import (
+	"fmt"
+	"io"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+const (
+	percent  = 100
+	megabyte = 1 << 20
+	kilobyte = 1000
+)
+
+// Markdown writes the points and the slopes as tables.
+func (r Result) Markdown(w io.Writer) {
+	r.Origin.Markdown(w)
+	fmt.Fprintln(w, "| agents | entries | control hosts | phase | starts/s | role | CPU, % of a core | RSS, MB | KB/s in and out | requests/s served | CPU µs a start |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, p := range r.Points {
+		p.markdown(w)
+	}
+	fmt.Fprintln(w)
+	r.fits(w)
+	r.keys(w)
+}
+
+func (p Point) markdown(w io.Writer) {
+	if p.Error != "" {
+		fmt.Fprintf(w, "| %d | %d | %d | %s | not run: %s |\n", p.Agents, p.Entries, p.Controls, p.Phase, p.Error)
+	}
+	for _, r := range p.Roles {
+		fmt.Fprintf(w, "| %d | %d | %d | %s | %.0f | %s | %.2f | %.1f | %.1f | %.1f | %.1f |\n",
+			p.Agents, p.Entries, p.Controls, p.Phase, p.StartsPerSecond, r.Name, r.CPU*percent,
+			r.RSSBytes/megabyte, r.BytesPerSecond/kilobyte, r.RequestsPerSecond, r.CPUMicrosPerStart)
+	}
+}
+
+// fits writes a line through the points of one entry against the number of
+// agents, for each role and phase.
+func (r Result) fits(w io.Writer) {
+	fmt.Fprintln(w, "Least squares over the points with one entry; base + slope for each agent:")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| phase | role | CPU, % of a core | RSS, MB | KB/s | requests/s |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|")
+	for _, phase := range []string{Idle, Busy} {
+		for _, name := range []string{Leader, Follower, Entry, Agent} {
+			r.fit(w, phase, name)
+		}
+	}
+	fmt.Fprintln(w)
+}
+
+func (r Result) fit(w io.Writer, phase, name string) {
+	var agents, cpu, rss, bytes, requests []float64
+	for _, p := range r.Points {
+		role, ok := p.Role(name)
+		if !ok || p.Phase != phase || p.Entries != 1 {
+			continue
+		}
+		agents = append(agents, float64(p.Agents))
+		cpu = append(cpu, role.CPU*percent)
+		rss = append(rss, role.RSSBytes/megabyte)
+		bytes = append(bytes, role.BytesPerSecond/kilobyte)
+		requests = append(requests, role.RequestsPerSecond)
+	}
+	if len(agents) < 2 {
+		return
+	}
+	fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s |\n", phase, name,
+		line(agents, cpu), line(agents, rss), line(agents, bytes), line(agents, requests))
+}
+
+func line(x, y []float64) string {
+	base, slope := stat.LinearRegression(x, y, nil, false)
+	return fmt.Sprintf("%.3g + %.3g n", base, slope)
+}
+
+func (r Result) keys(w io.Writer) {
+	for _, k := range r.Keys {
+		if k.Error != "" {
+			fmt.Fprintf(w, "Records: not run: %s\n", k.Error)
+			continue
+		}
+		fmt.Fprintf(w, "Records: %d jobs of one task on %d agents, 3 copies each: RSS of an agent %.1f MB before, %.1f MB after, %.0f bytes a record; entry %.1f MB before, %.1f MB after.\n",
+			k.Jobs, k.Agents, k.RSSBefore/megabyte, k.RSSAfter/megabyte, k.BytesPerRecord, k.EntryBefore/megabyte, k.EntryAfter/megabyte)
+	}
+}
