--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -22,6 +22,9 @@
 	Check   cmdCheck   `cmd:"" help:"Check settings and service files."`
 	Publish cmdPublish `cmd:"" help:"Put the service files below a folder into force."`
 	Status  cmdStatus  `cmd:"" help:"Show the state of the system."`
+	Workers cmdWorkers `cmd:"" help:"Show the workers and their backend servers."`
+	Submit  cmdSubmit  `cmd:"" help:"Submit a job and print its answer."`
+	Drain   cmdDrain   `cmd:"" help:"Ask an entry or agent to leave."`
 	Version cmdVersion `cmd:"" help:"Print the version."`
 
 	Completion cmdCompletion `cmd:"" help:"Print a completion script for a shell."`
@@ -32,7 +35,7 @@
 // securityFlags name the files that guard an operator's connections.
 type securityFlags struct {
 	Certificate string `help:"Certificate of the caller (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_CERTIFICATE"`
-	Key         string `help:"Key of the certificate (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_KEY"`
+	Key         string `help:"Key of the certificate (PEM)." name:"key-file" placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_KEY"`
 	Authority   string `help:"Certificate of the authority (PEM)." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_AUTHORITY"`
 	TokenFile   string `help:"File with the operator token." placeholder:"FILE" type:"existingfile" env:"SKYLARKLANE_TOKEN_FILE"`
 }
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -10,6 +10,8 @@
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/wire"
 )
 
@@ -17,30 +19,30 @@
 type Entry struct {
 	follower   *membership.Follower
 	ledger     *ledger.Client
-	tokens     *tokens
 	dispatcher *dispatcher
 	log        *slog.Logger
 	metrics    *metric.Registry
 	limits     *wire.EntryLimits
+	gate       *process.Gate
 }
 
 // New returns an entry.
-func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, log *slog.Logger, metrics *metric.Registry) *Entry {
-	held := newTokens(follower, client)
+func New(follower *membership.Follower, records *ledger.Client, client *http.Client, limits *wire.EntryLimits, policy placement.Policy, log *slog.Logger, metrics *metric.Registry) *Entry {
 	return &Entry{
 		follower:   follower,
 		ledger:     records,
-		tokens:     held,
-		dispatcher: &dispatcher{follower: follower, tokens: held, client: client},
+		dispatcher: newDispatcher(follower, client, policy, log, metrics.Scope()),
 		log:        log,
 		metrics:    metrics,
 		limits:     limits,
+		gate:       process.NewGate(),
 	}
 }
 
 // Run works until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
-	go e.tokens.loop(ctx)
+	keep := &keeper{d: e.dispatcher}
+	go keep.loop(ctx)
 	e.follower.Run(ctx)
 }
 
@@ -49,14 +51,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.submit)
 	mux.HandleFunc("GET /v1/jobs/{key}", e.show)
+	mux.HandleFunc("GET /v1/admin/status", e.status)
+	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(e, e.metrics.Hooks()))
 	mux.Handle("/metrics", e.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", e.ready)
-	return mux
+	return process.CloseConnections(e.gate, mux)
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if !e.follower.Current() {
+	switch {
+	case e.gate.Closed():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !e.follower.Current():
 		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
 	}
 }
