Control: decide through the replicated log, follow it by deltas

A control host kept its state in memory alone. Decisions now go through lib/quorum; leases stay in the leader's memory, and a new leader grants everyone a full one before it declares anyone dead. A host that does not lead names the leader to members and passes operators' calls on, once. A change id that comes again with other content is refused. lib/service checks a whole configuration, and the control host does so too.

Members ask for deltas: what is newer than their directory version, instead of all of it. A member that was declared dead ends with an error: two small changes in lib/agent/main.go and lib/entry/main.go, as an incarnation can't come back and a supervisor must start another.

--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -53,7 +53,13 @@
 	stop := a.start(context.WithoutCancel(ctx), client)
 	defer stop()
 	ready(server.Address(), announce.Address())
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.follower.Dead():
+		announce.Close()
+		server.Close()
+		return membership.ErrDead()
+	}
 	return a.shutdown(context.WithoutCancel(ctx), announce, server)
 }
 
--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -4,158 +4,162 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/quorum"
 	"skylarklane.example/lib/wire"
 )
 
-// decisionsPerLease is how often in a lease the leader looks for decisions.
-const decisionsPerLease = 8
+const (
+	// decisionsPerLease is how often in a lease the leader looks for decisions.
+	decisionsPerLease = 8
+	// proposeTimeout bounds the wait for a decision to be committed.
+	proposeTimeout = 10 * time.Second
+)
 
 // Control is one host of the control group.
 type Control struct {
-	cfg      *wire.ControlSettings
-	log      *slog.Logger
-	metrics  *metric.Registry
-	scope    tally.Scope
-	commands chan func(*state)
-}
-
-// state is what a control host knows. One goroutine owns it.
-type state struct {
-	machine *machine
-	leases  *leases
-	index   uint64
-}
-
-// New returns a control host. Run starts it.
-func New(cfg *wire.ControlSettings, log *slog.Logger, metrics *metric.Registry) *Control {
-	return &Control{cfg: cfg, log: log, metrics: metrics, scope: metrics.Scope(), commands: make(chan func(*state))}
-}
-
-// Run owns the state until ctx ends.
-func (c *Control) Run(ctx context.Context) {
-	c.loop(ctx, &state{machine: newMachine(c.cfg.GetRetentionMillis()), leases: newLeases(c.lease())})
-}
-
-// Handler serves the control interface.
-func (c *Control) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(wire.ControlPathPrefix, wire.NewControlServer(c, c.metrics.Hooks()))
-	mux.Handle("/metrics", c.metrics.Handler())
-	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
-	mux.HandleFunc("/readyz", func(http.ResponseWriter, *http.Request) {})
-	return mux
+	cfg    *wire.ControlSettings
+	client *http.Client
+	log    *slog.Logger
+	scope  tally.Scope
+	page   http.Handler
+	node   *quorum.Node
+	// state belongs to the node's goroutine.
+	state *state
+}
+
+// New returns a control host on its data folder. Run starts it. The error says
+// what is wrong with the folder or the settings.
+func New(cfg *wire.ControlSettings, folder quorum.Folder, client *http.Client, log *slog.Logger, metrics *metric.Registry) (*Control, error) {
+	if cfg.GetLeaseMillis() <= 0 || cfg.GetShards() == 0 {
+		return nil, &Error{Op: "start", Kind: KindSettings, Err: eris.New("leaseMillis and shards must be set")}
+	}
+	c := &Control{
+		cfg:    cfg,
+		client: client,
+		log:    log,
+		scope:  metrics.Scope(),
+		page:   metrics.Handler(),
+		state:  &state{machine: newMachine(), leases: newLeases(time.Duration(cfg.GetLeaseMillis()) * time.Millisecond)},
+	}
+	peers := hosts(cfg)
+	node, err := quorum.New(quorum.Config{ID: cfg.GetId(), Peers: peers}, quorum.NewClient(client, peers), folder, c.state.machine, log)
+	if err != nil {
+		return nil, err
+	}
+	c.node = node
+	return c, nil
 }
 
-// Renew implements wire.Control.
-func (c *Control) Renew(ctx context.Context, q *wire.RenewRequest) (*wire.RenewReply, error) {
-	var reply *wire.RenewReply
-	err := c.do(ctx, func(s *state) { reply = c.renew(s, q) })
-	return reply, err
+// hosts lists the hosts of the first group.
+func hosts(cfg *wire.ControlSettings) []*wire.LogHost {
+	var found []*wire.LogHost
+	for _, peer := range cfg.GetPeers() {
+		found = append(found, &wire.LogHost{Id: peer.GetId(), Address: peer.GetAddress()})
+	}
+	return found
 }
 
-// Publish implements wire.Control.
-func (c *Control) Publish(ctx context.Context, q *wire.PublishRequest) (*wire.PublishReply, error) {
-	var reply *wire.PublishReply
-	err := c.do(ctx, func(s *state) {
-		reply = s.apply(&wire.Command{Command: &wire.Command_Publish{Publish: q}})
-	})
-	return reply, err
+// Run takes part in the group until ctx ends, which is no error, or until the
+// data folder fails.
+func (c *Control) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.loop(ctx)
+	return c.node.Run(ctx)
 }
 
-// History implements wire.Control.
-func (c *Control) History(ctx context.Context, q *wire.HistoryRequest) (*wire.HistoryReply, error) {
-	reply := &wire.HistoryReply{}
-	err := c.do(ctx, func(s *state) { reply.Changes = s.machine.since(q.GetSince(), int(q.GetLimit())) })
-	return reply, err
+// loop has the leader decide.
+func (c *Control) loop(ctx context.Context) {
+	ticker := time.NewTicker(c.lease() / decisionsPerLease)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.decide(ctx)
+		c.measure(ctx)
+	}
 }
 
-// Status implements wire.Control.
-func (c *Control) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
-	reply := &wire.StatusReply{Id: c.cfg.GetId()}
-	err := c.do(ctx, func(s *state) {
-		reply.Directory = s.machine.directory()
-		reply.Members = s.leases.status(s.machine.state.GetMembers(), time.Now())
+func (c *Control) decide(ctx context.Context) {
+	var commands []*wire.Command
+	err := c.read(ctx, func(s *state, now time.Time) {
+		commands = s.decisions(&wire.Limits{RetentionMillis: c.cfg.GetRetentionMillis()}, c.cfg.GetShards(), now)
 	})
-	return reply, err
-}
-
-// Report implements wire.Control.
-func (c *Control) Report(ctx context.Context, q *wire.ReportRequest) (*wire.ReportReply, error) {
-	err := c.do(ctx, func(s *state) {
-		if view := s.report(q, time.Now()); view != nil {
-			s.apply(moveCommand([]*wire.View{view}))
+	if err != nil {
+		return
+	}
+	for _, command := range commands {
+		c.announce(command)
+		if _, err := c.propose(ctx, command); err != nil {
+			c.log.Warn("A decision is in doubt.", "error", err)
 		}
-	})
-	return &wire.ReportReply{}, err
+	}
 }
 
-func (c *Control) renew(s *state, q *wire.RenewRequest) *wire.RenewReply {
-	member := q.GetMember()
-	if s.dead(q) {
-		c.scope.Counter("renew_refused_dead").Inc(1)
-		return &wire.RenewReply{Dead: true}
-	}
-	if !unchanged(s.machine.member(member.GetIncarnation()), member) {
-		s.apply(joinCommand(member))
+// announce logs who is declared dead.
+func (c *Control) announce(command *wire.Command) {
+	for _, who := range command.GetDeclare().GetDead() {
+		c.log.Warn("A member is silent and declared dead.", "id", who.GetId(), "incarnation", who.GetNumber())
+		c.scope.Counter("declared_dead").Inc(1)
 	}
-	s.leases.renew(member.GetIncarnation(), q.GetDirectoryVersion(), time.Now())
-	reply := &wire.RenewReply{LeaseMillis: c.lease().Milliseconds()}
-	if s.machine.state.GetVersion() > q.GetDirectoryVersion() {
-		reply.Directory = s.machine.directory()
+	if n := len(command.GetMove().GetViews()); n > 0 {
+		c.scope.Counter("view_changes").Inc(int64(n))
 	}
-	return reply
 }
 
-func (c *Control) lease() time.Duration {
-	return time.Duration(c.cfg.GetLeaseMillis()) * time.Millisecond
+// read runs f while this host leads and is current.
+func (c *Control) read(ctx context.Context, f func(s *state, now time.Time)) error {
+	return c.node.Read(ctx, func(term uint64) {
+		now := time.Now()
+		c.state.lead(term, now)
+		f(c.state, now)
+	})
 }
 
-func (c *Control) loop(ctx context.Context, s *state) {
-	ticker := time.NewTicker(c.lease() / decisionsPerLease)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case command := <-c.commands:
-			command(s)
-		case now := <-ticker.C:
-			c.decide(s, now)
-		}
+// propose has the group carry a command out. Only publishing has an answer.
+func (c *Control) propose(ctx context.Context, command *wire.Command) (*wire.PublishReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	command.AtMillis = time.Now().UnixMilli()
+	b, err := proto.Marshal(command)
+	if err != nil {
+		return nil, &Error{Op: "propose", Kind: KindState, Err: eris.Wrap(err, "the command cannot be encoded")}
 	}
-}
-
-func (c *Control) decide(s *state, now time.Time) {
-	for _, command := range s.decisions(c.cfg.GetShards(), now) {
-		s.apply(command)
+	value, err := c.node.Propose(ctx, b)
+	if err != nil {
+		return nil, err
 	}
+	reply, _ := value.(*wire.PublishReply)
+	return reply, nil
 }
 
-// do runs f on the goroutine that owns the state.
-func (c *Control) do(ctx context.Context, f func(*state)) error {
-	done := make(chan struct{})
-	command := func(s *state) {
-		f(s)
-		close(done)
+// leaderAddress returns where to reach the leader that err names, if any.
+func (c *Control) leaderAddress(err error) string {
+	var e *quorum.Error
+	if !errors.As(err, &e) || e.Kind != quorum.KindNotLeader || e.Leader == c.cfg.GetId() {
+		return ""
 	}
-	select {
-	case c.commands <- command:
-		<-done
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for _, peer := range c.cfg.GetPeers() {
+		if peer.GetId() == e.Leader {
+			return peer.GetAddress()
+		}
 	}
+	return ""
 }
 
-func (s *state) apply(command *wire.Command) *wire.PublishReply {
-	s.index++
-	command.AtMillis = time.Now().UnixMilli()
-	return s.machine.apply(s.index, command)
+func (c *Control) lease() time.Duration {
+	return time.Duration(c.cfg.GetLeaseMillis()) * time.Millisecond
 }
--- a/lib/control/decide.go
+++ b/lib/control/decide.go
@@ -8,10 +8,32 @@
 	"skylarklane.example/lib/wire"
 )
 
+// state is what the control part of a host knows. The goroutine of its node
+// owns it.
+type state struct {
+	machine *machine
+	leases  *leases
+	// term is the leadership that the leases belong to.
+	term uint64
+}
+
+// lead starts a leadership: whoever was a member before has a full lease, as
+// this host cannot know what its predecessor granted.
+func (s *state) lead(term uint64, now time.Time) {
+	if s.term == term {
+		return
+	}
+	s.term = term
+	s.leases.grantAll(s.machine.state.GetMembers(), now)
+}
+
 // decisions returns the commands that the leader should log now.
-func (s *state) decisions(shards uint32, now time.Time) []*wire.Command {
+func (s *state) decisions(limits *wire.Limits, shards uint32, now time.Time) []*wire.Command {
 	members := s.machine.state.GetMembers()
 	s.leases.forget(members)
+	if s.machine.state.GetRetentionMillis() != limits.GetRetentionMillis() {
+		return []*wire.Command{limitsCommand(limits)}
+	}
 	if dead := s.leases.expired(members, now); len(dead) > 0 {
 		return []*wire.Command{declareCommand(dead)}
 	}
@@ -77,6 +99,10 @@
 	return &wire.Command{Command: &wire.Command_Join{Join: &wire.Join{Member: member}}}
 }
 
+func limitsCommand(limits *wire.Limits) *wire.Command {
+	return &wire.Command{Command: &wire.Command_Limits{Limits: limits}}
+}
+
 func declareCommand(dead []*wire.Incarnation) *wire.Command {
 	return &wire.Command{Command: &wire.Command_Declare{Declare: &wire.Declare{Dead: dead}}}
 }
--- a/lib/control/directory.go
+++ b/lib/control/directory.go
@@ -31,7 +31,9 @@
 	if since == 0 || since < m.state.GetDropped() || since > m.state.GetVersion() {
 		return nil
 	}
-	d := &wire.DirectoryDelta{Since: since, Version: m.state.GetVersion()}
+	d := &wire.DirectoryDelta{
+		Since: since, Version: m.state.GetVersion(), RetentionMillis: m.state.GetRetentionMillis(),
+	}
 	for _, member := range m.state.GetMembers() {
 		if member.GetVersion() > since {
 			d.Members = append(d.Members, member)
--- /dev/null
+++ b/lib/control/error.go
@@ -0,0 +1,25 @@
+package control
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindState means that decisions of the group cannot be read.
+	KindState Kind = iota + 1
+	// KindSettings means that a host's settings cannot be used.
+	KindSettings
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/lib/control/handler.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"skylarklane.example/lib/quorum"
+	"skylarklane.example/lib/wire"
+)
+
+// probeTimeout bounds the answer to a probe.
+const probeTimeout = 2 * time.Second
+
+// Handler serves the other hosts, the members and operators.
+func (c *Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.ControlPathPrefix, keepHeader(wire.NewControlServer(c)))
+	mux.Handle(wire.QuorumPathPrefix, wire.NewQuorumServer(c.node))
+	mux.Handle("/metrics", c.page)
+	mux.HandleFunc("/healthz", c.healthz)
+	mux.HandleFunc("/readyz", c.readyz)
+	return mux
+}
+
+// healthz tells whether the host runs.
+func (c *Control) healthz(w http.ResponseWriter, r *http.Request) {
+	if _, err := c.peek(r.Context()); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+// readyz tells whether the host has a group with a leader.
+func (c *Control) readyz(w http.ResponseWriter, r *http.Request) {
+	status, err := c.peek(r.Context())
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case !status.Founded:
+		http.Error(w, "this host belongs to no group yet", http.StatusServiceUnavailable)
+	case status.Leader == "" || status.Leader == c.cfg.GetId() && !status.Current:
+		http.Error(w, "no leader is known", http.StatusServiceUnavailable)
+	}
+}
+
+// measure brings the gauges up to date.
+func (c *Control) measure(ctx context.Context) {
+	status, err := c.peek(ctx)
+	if err != nil {
+		return
+	}
+	current := 0.0
+	if status.Current {
+		current = 1
+	}
+	c.scope.Gauge("leading").Update(current)
+	c.scope.Gauge("term").Update(float64(status.Term))
+	c.scope.Gauge("commit_index").Update(float64(status.Commit))
+}
+
+func (c *Control) peek(ctx context.Context) (quorum.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var status quorum.Status
+	err := c.node.Peek(ctx, func(s quorum.Status) { status = s })
+	return status, err
+}
--- a/lib/control/history.go
+++ b/lib/control/history.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"bytes"
+	"crypto/sha256"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"skylarklane.example/lib/wire"
 )
 
@@ -11,8 +15,6 @@
 	reasonBaseNotInForce = "baseNotInForce"
 	reasonChangeIDReused = "changeIdReused"
 	reasonInvalid        = "invalidConfiguration"
-	reasonNotLeader      = "notLeader"
-	reasonInDoubt        = "inDoubt"
 )
 
 // configuration returns the change in force, an empty one at first.
@@ -34,8 +36,9 @@
 
 // publish accepts a change that is based on the version in force, once.
 func (m *machine) publish(index uint64, at int64, q *wire.PublishRequest) *wire.PublishReply {
+	digest := digestOf(q)
 	if old := m.change(q.GetChangeId()); old != nil {
-		return &wire.PublishReply{Accepted: true, Version: old.GetVersion()}
+		return again(old, digest)
 	}
 	inForce := m.configuration()
 	if q.GetBaseVersion() != inForce.GetVersion() {
@@ -53,6 +56,7 @@
 		AcceptedAtMillis: at,
 		Services:         q.GetServices(),
 		Teams:            q.GetTeams(),
+		Digest:           digest,
 	}
 	m.state.Version = index
 	m.state.Changes = append(m.state.Changes, change)
@@ -60,6 +64,31 @@
 	return &wire.PublishReply{Accepted: true, Version: change.GetVersion()}
 }
 
+// again answers a change whose id is known: as before, unless it is another
+// change.
+func again(old *wire.Change, digest []byte) *wire.PublishReply {
+	if bytes.Equal(old.GetDigest(), digest) {
+		return &wire.PublishReply{Accepted: true, Version: old.GetVersion()}
+	}
+	return &wire.PublishReply{
+		Version:        old.GetVersion(),
+		Winner:         old.GetAuthor(),
+		WinnerChangeId: old.GetChangeId(),
+		Reason:         reasonChangeIDReused,
+	}
+}
+
+// digestOf tells the content of changes apart.
+func digestOf(q *wire.PublishRequest) []byte {
+	content := &wire.PublishRequest{BaseVersion: q.GetBaseVersion(), Services: q.GetServices(), Teams: q.GetTeams()}
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(content)
+	if err != nil {
+		panic(err)
+	}
+	sum := sha256.Sum256(b)
+	return sum[:]
+}
+
 // trim drops the content of old changes, and very old changes whole.
 func (m *machine) trim() {
 	changes := m.state.GetChanges()
@@ -70,7 +99,7 @@
 		old := changes[n-1]
 		changes[n-1] = &wire.Change{
 			Version: old.GetVersion(), ChangeId: old.GetChangeId(), Author: old.GetAuthor(),
-			AcceptedAtMillis: old.GetAcceptedAtMillis(), Dropped: true,
+			AcceptedAtMillis: old.GetAcceptedAtMillis(), Digest: old.GetDigest(), Dropped: true,
 		}
 	}
 	m.state.Changes = changes
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
@@ -24,8 +25,36 @@
 	state *wire.ControlState
 }
 
-func newMachine(retentionMillis int64) *machine {
-	return &machine{state: &wire.ControlState{RetentionMillis: retentionMillis}}
+func newMachine() *machine {
+	return &machine{state: &wire.ControlState{}}
+}
+
+// Apply implements quorum.Machine.
+func (m *machine) Apply(index uint64, b []byte) any {
+	command := &wire.Command{}
+	if err := proto.Unmarshal(b, command); err != nil {
+		panic(err) // the log checks its records; this one was written by a newer version
+	}
+	return m.apply(index, command)
+}
+
+// Snapshot implements quorum.Machine.
+func (m *machine) Snapshot() []byte {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Restore implements quorum.Machine.
+func (m *machine) Restore(b []byte) error {
+	state := &wire.ControlState{}
+	if err := proto.Unmarshal(b, state); err != nil {
+		return &Error{Op: "restore", Kind: KindState, Err: eris.Wrap(err, "the snapshot cannot be read")}
+	}
+	m.state = state
+	return nil
 }
 
 // apply carries out the command at a log index. It returns the answer to a
@@ -41,6 +70,9 @@
 		m.move(index, c.Move.GetViews())
 	case *wire.Command_Publish:
 		return m.publish(index, at, c.Publish)
+	case *wire.Command_Limits:
+		m.state.Version = index
+		m.state.RetentionMillis = c.Limits.GetRetentionMillis()
 	}
 	return nil
 }
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -16,14 +16,21 @@
 type group struct {
 	is *is.I
 	*state
-	now time.Time
+	now   time.Time
+	index uint64
 }
 
 func newGroup(t *testing.T) *group {
-	s := &state{machine: newMachine(0), leases: newLeases(time.Second)}
+	s := &state{machine: newMachine(), leases: newLeases(time.Second)}
 	return &group{is: is.New(t), state: s, now: time.Now()}
 }
 
+func (g *group) apply(command *wire.Command) {
+	g.index++
+	command.AtMillis = g.now.UnixMilli()
+	g.machine.apply(g.index, command)
+}
+
 func agent(n int, life uint64) *wire.Member {
 	return &wire.Member{
 		Incarnation: &wire.Incarnation{Id: fmt.Sprintf("worker%02d", n), Number: life},
@@ -41,7 +48,7 @@
 // settle carries decisions out until there are none; joining members copy.
 func (g *group) settle() {
 	for range 10000 {
-		decisions := g.decisions(testShards, g.now)
+		decisions := g.decisions(&wire.Limits{}, testShards, g.now)
 		for _, command := range decisions {
 			before := epochs(g.machine.state)
 			old := append([]*wire.View(nil), g.machine.state.GetViews()...)
@@ -212,7 +219,7 @@
 
 func TestPublish(t *testing.T) {
 	is := is.New(t)
-	m := newMachine(0)
+	m := newMachine()
 	publish := func(id string, base uint64) *wire.PublishReply {
 		return m.apply(m.state.GetVersion()+1, &wire.Command{Command: &wire.Command_Publish{
 			Publish: &wire.PublishRequest{ChangeId: id, BaseVersion: base, Author: id}}})
@@ -222,6 +229,9 @@
 	is.True(!lost.GetAccepted())
 	is.Equal(lost.GetWinner(), "a")
 	is.Equal(publish("a", 0).GetVersion(), uint64(1)) // the same answer again
+	reused := publish("a", 1)
+	is.True(!reused.GetAccepted()) // the same id for another change
+	is.Equal(reused.GetReason(), reasonChangeIDReused)
 	is.True(publish("c", 1).GetAccepted())
 	is.Equal(publish("a", 0).GetVersion(), uint64(1))
 	for n := range maxContents {
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -7,6 +7,7 @@
 
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/quorum"
 	"skylarklane.example/lib/settings"
 	"skylarklane.example/lib/wire"
 )
@@ -32,13 +33,24 @@
 	}
 	metrics := metric.New("control")
 	defer metrics.Close()
+	folder, err := quorum.OpenFolder(cfg.GetDataFolder())
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	c, err := New(cfg, folder, security.Client(), log, metrics)
+	if err != nil {
+		return err
+	}
 	listener, err := process.Listen(cfg.GetListen())
 	if err != nil {
 		return err
 	}
-	c := New(cfg, log, metrics)
 	server := process.New(security.Listener(listener), security.Guard(c.Handler()), log)
 	ready(server.Address(), "")
-	c.Run(ctx)
+	if err := c.Run(ctx); err != nil {
+		server.Close()
+		return err
+	}
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
--- /dev/null
+++ b/lib/control/member.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"skylarklane.example/lib/wire"
+)
+
+// maxJoinRounds bounds how often a renewal has its member logged before it
+// asks the member to come again.
+const maxJoinRounds = 3
+
+// Renew implements wire.Control. A host that does not lead names the leader
+// and grants nothing.
+func (c *Control) Renew(ctx context.Context, q *wire.RenewRequest) (*wire.RenewReply, error) {
+	if err := checkMember(q.GetMember()); err != nil {
+		return nil, err
+	}
+	for range maxJoinRounds {
+		var reply *wire.RenewReply
+		err := c.read(ctx, func(s *state, now time.Time) { reply = s.renew(q, now) })
+		if err != nil {
+			return c.renewElsewhere(err)
+		}
+		if reply.GetDead() {
+			c.scope.Counter("renew_refused_dead").Inc(1)
+		}
+		if reply != nil {
+			return reply, nil
+		}
+		if _, err := c.propose(ctx, joinCommand(q.GetMember())); err != nil {
+			return c.renewElsewhere(err)
+		}
+	}
+	return &wire.RenewReply{}, nil
+}
+
+func (c *Control) renewElsewhere(err error) (*wire.RenewReply, error) {
+	c.scope.Counter("renew_refused_not_leader").Inc(1)
+	return &wire.RenewReply{Leader: c.leaderAddress(err)}, nil
+}
+
+// Report implements wire.Control.
+func (c *Control) Report(ctx context.Context, q *wire.ReportRequest) (*wire.ReportReply, error) {
+	var view *wire.View
+	err := c.read(ctx, func(s *state, now time.Time) { view = s.report(q, now) })
+	if err != nil {
+		c.scope.Counter("report_refused_not_leader").Inc(1)
+		return &wire.ReportReply{Leader: c.leaderAddress(err)}, nil
+	}
+	if view == nil {
+		c.scope.Counter("report_refused_outdated").Inc(1)
+		return &wire.ReportReply{}, nil
+	}
+	if _, err := c.propose(ctx, moveCommand([]*wire.View{view})); err != nil {
+		return &wire.ReportReply{Leader: c.leaderAddress(err)}, nil
+	}
+	return &wire.ReportReply{}, nil
+}
+
+// renew extends a lease. It returns nil where the member must be logged first.
+func (s *state) renew(q *wire.RenewRequest, now time.Time) *wire.RenewReply {
+	if s.dead(q) {
+		return &wire.RenewReply{Dead: true}
+	}
+	member := q.GetMember()
+	if !unchanged(s.machine.member(member.GetIncarnation()), member) {
+		return nil
+	}
+	s.leases.renew(member.GetIncarnation(), q.GetDirectoryVersion(), now)
+	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds()}
+	if s.machine.state.GetVersion() == q.GetDirectoryVersion() {
+		return reply
+	}
+	if q.GetDeltas() {
+		reply.Delta = s.machine.delta(q.GetDirectoryVersion(), q.GetConfigVersion())
+	}
+	if reply.Delta == nil {
+		reply.Directory = s.machine.directory()
+	}
+	return reply
+}
+
+func checkMember(member *wire.Member) error {
+	switch {
+	case member.GetIncarnation().GetId() == "":
+		return twirp.RequiredArgumentError("member.incarnation.id")
+	case member.GetAddress() == "":
+		return twirp.RequiredArgumentError("member.address")
+	case member.GetRole() == wire.Role_ROLE_UNSPECIFIED:
+		return twirp.RequiredArgumentError("member.role")
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/control/operator.go
@@ -0,0 +1,144 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"skylarklane.example/lib/quorum"
+	"skylarklane.example/lib/service"
+	"skylarklane.example/lib/wire"
+)
+
+// maxChangeID bounds the length of a change id, in bytes.
+const maxChangeID = 128
+
+// forwardedHeader marks a call that another host has passed on.
+const forwardedHeader = "Skylarklane-Forwarded"
+
+// headerKey keys the header of an operator's call in its context.
+type headerKey struct{}
+
+// Publish implements wire.Control. An error means that the change may or may
+// not be accepted: the same change id gets the answer.
+func (c *Control) Publish(ctx context.Context, q *wire.PublishRequest) (*wire.PublishReply, error) {
+	if q.GetChangeId() == "" || len(q.GetChangeId()) > maxChangeID {
+		return nil, twirp.InvalidArgumentError("change_id", "must have 1 to 128 bytes")
+	}
+	if err := service.Check(q.GetServices(), q.GetTeams()); err != nil {
+		c.refused(reasonInvalid)
+		return &wire.PublishReply{Reason: reasonInvalid, Detail: err.Error()}, nil
+	}
+	reply, err := c.propose(ctx, &wire.Command{Command: &wire.Command_Publish{Publish: q}})
+	if address := c.leaderAddress(err); address != "" {
+		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.PublishReply, error) {
+			return leader.Publish(ctx, q)
+		})
+	}
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	if !reply.GetAccepted() {
+		c.refused(reply.GetReason())
+	}
+	return reply, nil
+}
+
+// History implements wire.Control.
+func (c *Control) History(ctx context.Context, q *wire.HistoryRequest) (*wire.HistoryReply, error) {
+	reply := &wire.HistoryReply{}
+	err := c.read(ctx, func(s *state, _ time.Time) {
+		reply.Changes = s.machine.since(q.GetSince(), int(q.GetLimit()))
+	})
+	if address := c.leaderAddress(err); address != "" {
+		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.HistoryReply, error) {
+			return leader.History(ctx, q)
+		})
+	}
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return reply, nil
+}
+
+// Status implements wire.Control. A host that cannot ask the leader tells what
+// it has, and that this may be old.
+func (c *Control) Status(ctx context.Context, q *wire.StatusRequest) (*wire.StatusReply, error) {
+	reply := &wire.StatusReply{Id: c.cfg.GetId(), Current: true}
+	err := c.read(ctx, func(s *state, now time.Time) {
+		reply.Directory = s.machine.directory()
+		reply.Members = s.leases.status(s.machine.state.GetMembers(), now)
+	})
+	if address := c.leaderAddress(err); address != "" {
+		passed, err := forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.StatusReply, error) {
+			return leader.Status(ctx, q)
+		})
+		if err == nil && passed.GetCurrent() {
+			return passed, nil
+		}
+	}
+	if err != nil {
+		reply.Current = false
+	}
+	err = c.node.Peek(ctx, func(status quorum.Status) { c.describe(reply, status) })
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	return reply, nil
+}
+
+// describe adds what this host knows of the group.
+func (c *Control) describe(reply *wire.StatusReply, status quorum.Status) {
+	if reply.Directory == nil {
+		reply.Directory = c.state.machine.directory()
+	}
+	reply.Leader = status.Leader
+	reply.Term = status.Term
+	reply.CommitIndex = status.Commit
+	for _, host := range status.Hosts {
+		if host.ID == status.Leader {
+			reply.LeaderAddress = host.Address
+		}
+		reply.Hosts = append(reply.Hosts, &wire.HostStatus{
+			Id: host.ID, Address: host.Address, Voter: host.Voter, MatchIndex: host.Match,
+		})
+	}
+}
+
+func (c *Control) refused(reason string) {
+	c.scope.Tagged(map[string]string{"reason": reason}).Counter("publish_refused").Inc(1)
+}
+
+// forward passes an operator's call on to the leader, once.
+func forward[R any](ctx context.Context, c *Control, address string, call func(context.Context, wire.Control) (R, error)) (R, error) {
+	var none R
+	header, _ := ctx.Value(headerKey{}).(http.Header)
+	if header.Get(forwardedHeader) != "" {
+		return none, twirp.Unavailable.Error("nothing was done: the leader has changed")
+	}
+	passed := http.Header{}
+	passed.Set(forwardedHeader, c.cfg.GetId())
+	if token := header.Get("Authorization"); token != "" {
+		passed.Set("Authorization", token)
+	}
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, passed)
+	if err != nil {
+		return none, twirp.InternalErrorWith(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return call(ctx, wire.NewControlProtobufClient("http://"+address, c.client))
+}
+
+// keepHeader lets operators' calls be passed on as they came.
+func keepHeader(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), headerKey{}, r.Header)))
+	})
+}
+
+func unavailable(err error) error {
+	return twirp.Unavailable.Error(err.Error())
+}
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 
@@ -69,7 +70,11 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go e.Run(running)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-follower.Dead():
+		return errors.Join(membership.ErrDead(), e.shutdown(running, server))
+	}
 	return e.shutdown(running, server)
 }
 
--- /dev/null
+++ b/lib/membership/delta.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"skylarklane.example/lib/wire"
+)
+
+// maxDead bounds how many dead incarnations a follower remembers.
+const maxDead = 1024
+
+// merge returns the directory that a delta leads to. The old one stays as it is.
+func merge(old *wire.Directory, delta *wire.DirectoryDelta) *wire.Directory {
+	d := &wire.Directory{
+		Version:         delta.GetVersion(),
+		Members:         mergeMembers(old.GetMembers(), delta),
+		Views:           mergeViews(old.GetViews(), delta.GetViews()),
+		ConfigVersion:   old.GetConfigVersion(),
+		Services:        old.GetServices(),
+		Teams:           old.GetTeams(),
+		Dead:            slices.Concat(old.GetDead(), delta.GetGone()),
+		RetentionMillis: delta.GetRetentionMillis(),
+	}
+	if n := len(d.Dead) - maxDead; n > 0 {
+		d.Dead = slices.Clone(d.Dead[n:])
+	}
+	if configuration := delta.GetConfiguration(); configuration.GetVersion() > old.GetConfigVersion() {
+		d.ConfigVersion = configuration.GetVersion()
+		d.Services = configuration.GetServices()
+		d.Teams = configuration.GetTeams()
+	}
+	return d
+}
+
+func mergeMembers(old []*wire.Member, delta *wire.DirectoryDelta) []*wire.Member {
+	replaced := map[string]bool{}
+	for _, member := range delta.GetMembers() {
+		replaced[member.GetIncarnation().GetId()] = true
+	}
+	members := slices.Clone(delta.GetMembers())
+	for _, member := range old {
+		who := member.GetIncarnation()
+		if !replaced[who.GetId()] && !has(delta.GetGone(), who) {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(a, b *wire.Member) int {
+		return strings.Compare(a.GetIncarnation().GetId(), b.GetIncarnation().GetId())
+	})
+	return members
+}
+
+func mergeViews(old, changed []*wire.View) []*wire.View {
+	views := slices.Clone(old)
+	for _, view := range changed {
+		if int(view.GetShard()) < len(views) {
+			views[view.GetShard()] = view
+			continue
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+func has(list []*wire.Incarnation, who *wire.Incarnation) bool {
+	return slices.ContainsFunc(list, func(one *wire.Incarnation) bool {
+		return one.GetId() == who.GetId() && one.GetNumber() == who.GetNumber()
+	})
+}
--- /dev/null
+++ b/lib/membership/error.go
@@ -0,0 +1,28 @@
+package membership
+
+import "github.com/rotisserie/eris"
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// KindDead means that the control group has declared this incarnation dead.
+const KindDead Kind = 1
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// ErrDead is why a process ends that was declared dead. Started anew it is
+// another incarnation and may join again.
+func ErrDead() error {
+	return &Error{Op: "renew", Kind: KindDead, Err: eris.New("the control group has declared this process dead; start it again")}
+}
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	renewInterval = 500 * time.Millisecond
-	renewTimeout  = time.Second
+	// firstInterval is the time between renewals before the lease is known.
+	firstInterval = 500 * time.Millisecond
+	// renewalsPerLease is how often a lease is renewed while it runs.
+	renewalsPerLease = 4
+	renewTimeout     = time.Second
 )
 
 // Follower renews one member's lease and keeps the newest directory.
@@ -30,8 +33,14 @@
 	member     *wire.Member
 	directory  *wire.Directory
 	validUntil time.Time
+	lease      time.Duration
 	changed    chan struct{}
-	target     int
+	dead       chan struct{}
+	buried     bool
+	// leader is the host that is thought to lead, next the one to ask where
+	// none is.
+	leader string
+	next   int
 }
 
 // New returns a follower for member that asks the control hosts at the given
@@ -44,6 +53,7 @@
 		member:    member,
 		directory: &wire.Directory{},
 		changed:   make(chan struct{}),
+		dead:      make(chan struct{}),
 	}
 }
 
@@ -54,7 +64,7 @@
 	return &wire.Incarnation{Id: id, Number: binary.BigEndian.Uint64(b[:])}
 }
 
-// Run renews the lease until ctx ends.
+// Run renews the lease until ctx ends or the member is declared dead.
 func (f *Follower) Run(ctx context.Context) {
 	f.loop(ctx)
 }
@@ -104,50 +114,104 @@
 	f.renew(ctx)
 }
 
+// Dead returns a channel that is closed once the control group has declared
+// this incarnation dead. It never is a member again: the process must end.
+func (f *Follower) Dead() <-chan struct{} { return f.dead }
+
 func (f *Follower) loop(ctx context.Context) {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
 	for {
 		f.renew(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-f.dead:
+			return
+		case <-time.After(f.interval()):
 		}
 	}
 }
 
+// interval is the time between two renewals.
+func (f *Follower) interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lease == 0 {
+		return firstInterval
+	}
+	return f.lease / renewalsPerLease
+}
+
+// renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
-	for range f.control {
-		if f.renewAt(ctx, f.control[f.target%len(f.control)]) {
+	for range 2 * len(f.control) {
+		if ctx.Err() != nil || f.renewAt(ctx, f.target()) {
 			return
 		}
-		f.target++
 	}
 }
 
+// target returns the host to ask next.
+func (f *Follower) target() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader != "" {
+		return f.leader
+	}
+	address := f.control[f.next%len(f.control)]
+	f.next++
+	return address
+}
+
 func (f *Follower) renewAt(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sentAt := time.Now()
-	request := &wire.RenewRequest{Member: f.Member(), DirectoryVersion: f.Directory().GetVersion()}
-	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Renew(ctx, request)
+	directory := f.Directory()
+	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Renew(ctx, &wire.RenewRequest{
+		Member:           f.Member(),
+		DirectoryVersion: directory.GetVersion(),
+		ConfigVersion:    directory.GetConfigVersion(),
+		Deltas:           true,
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader = reply.GetLeader()
 	if err != nil || reply.GetLeaseMillis() == 0 {
-		return false
+		f.stopIfDead(reply)
+		return reply.GetDead()
 	}
+	f.leader = address
 	f.accept(sentAt, reply)
 	return true
 }
 
+func (f *Follower) stopIfDead(reply *wire.RenewReply) {
+	if !reply.GetDead() || f.buried {
+		return
+	}
+	f.buried = true
+	f.validUntil = time.Time{}
+	f.log.Error("The control group has declared this process dead.")
+	close(f.dead)
+}
+
 // accept takes a reply in; directories only ever move up.
 func (f *Follower) accept(sentAt time.Time, reply *wire.RenewReply) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.validUntil = sentAt.Add(time.Duration(reply.GetLeaseMillis()) * time.Millisecond)
-	if reply.GetDirectory().GetVersion() <= f.directory.GetVersion() {
+	if f.buried {
+		return
+	}
+	f.lease = time.Duration(reply.GetLeaseMillis()) * time.Millisecond
+	if until := sentAt.Add(f.lease); until.After(f.validUntil) {
+		f.validUntil = until
+	}
+	newest := reply.GetDirectory()
+	if delta := reply.GetDelta(); delta != nil && delta.GetSince() == f.directory.GetVersion() {
+		newest = merge(f.directory, delta)
+	}
+	if newest.GetVersion() <= f.directory.GetVersion() {
 		return
 	}
-	f.directory = reply.GetDirectory()
+	f.directory = newest
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
--- a/lib/service/collect.go
+++ b/lib/service/collect.go
@@ -21,6 +21,8 @@
 const (
 	KindFile Kind = iota + 1
 	KindNone
+	// KindInvalid means that a value cannot be used.
+	KindInvalid
 )
 
 // Error is an error of this package.
