--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -72,34 +72,6 @@
 	return a.book.Claim(q), nil
 }
 
-// Start implements wire.Agent. The task goes on where the caller is lost.
-func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
-	if !a.gate.Enter() {
-		return notStarted("agentLeaving"), nil
-	}
-	defer a.gate.Leave()
-	server, token, ok := a.slot(ctx, q)
-	if !ok {
-		return notStarted("voidToken"), nil
-	}
-	reply := a.table.Begin(q)
-	if reply == nil {
-		reply = a.run(ctx, server, q)
-	}
-	reply.Token = a.book.Return(q.GetCoordinator(), token)
-	return reply, nil
-}
-
-// slot takes the slot for a start: that of its token, or the next free one
-// where it has none. It returns the backend server and the token's number.
-func (a *Agent) slot(ctx context.Context, q *wire.StartRequest) (string, uint64, bool) {
-	if q.GetToken() == 0 {
-		return a.book.Enter(ctx, q.GetCoordinator(), q.GetService())
-	}
-	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
-	return server, q.GetToken(), ok
-}
-
 // Ask implements wire.Agent.
 func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
 	return a.table.Ask(q), nil
@@ -123,15 +95,6 @@
 	return &wire.ForgetReply{}, nil
 }
 
-// run sends a task that the table has let through to its backend server.
-func (a *Agent) run(ctx context.Context, server string, q *wire.StartRequest) *wire.StartReply {
-	ctx = a.running.begin(ctx, q)
-	defer a.running.end(q)
-	reply := a.runner.Run(ctx, a.registry.URL(server), q)
-	a.table.End(q, reply)
-	return reply
-}
-
 func (a *Agent) ready(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case a.gate.Closed():
@@ -140,7 +103,3 @@
 		http.Error(w, "no lease from the control group", http.StatusServiceUnavailable)
 	}
 }
-
-func notStarted(reason string) *wire.StartReply {
-	return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: reason}
-}
