Settings and service files: errors with file, line and the nearest name

Files were turned into JSON first, so that an error named no place. They are now read node by node against the schema: unknown, doubled and ill-typed fields are refused with file and line and the name that was probably meant, ranges with their unit; enums are words (urgent), the schema's names still do. Collecting finds names that two files share, and where.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -21,6 +21,7 @@
 	Try     cmdTry     `cmd:"" help:"Run all roles in one process and submit a job of 20 tasks."`
 	Check   cmdCheck   `cmd:"" help:"Check settings and service files."`
 	Publish cmdPublish `cmd:"" help:"Put the service files below a folder into force."`
+	Config  cmdConfig  `cmd:"" help:"Show accepted changes of the configuration."`
 	Status  cmdStatus  `cmd:"" help:"Show the state of the system."`
 	Workers cmdWorkers `cmd:"" help:"Show the workers and their backend servers."`
 	Submit  cmdSubmit  `cmd:"" help:"Submit a job and print its answer."`
--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 
@@ -41,9 +42,21 @@
 	if m == nil {
 		return &Error{Op: "check", Kind: KindUsage, Err: eris.Errorf("%s: the name does not tell what the file is; give --as", file)}
 	}
+	if _, isService := m.(*wire.ServiceFile); isService {
+		return checkService(file)
+	}
 	return settings.Load(file, m)
 }
 
+func checkService(file string) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return &Error{Op: "check", Kind: KindFailed, Err: eris.Wrap(err, "cannot read the file")}
+	}
+	_, _, err = service.Read(file, b)
+	return err
+}
+
 // message returns an empty message of the type that the file should hold, nil
 // where that is unknown.
 func (c *cmdCheck) message(file string) proto.Message {
--- a/lib/service/check.go
+++ b/lib/service/check.go
@@ -1,12 +1,14 @@
 package service
 
 import (
+	"fmt"
+
 	"github.com/rotisserie/eris"
 
 	"skylarklane.example/lib/wire"
 )
 
-// Bounds of what a service file may say.
+// Bounds of what service files may say.
 const (
 	maxName           = 64
 	maxServices       = 1000
@@ -16,112 +18,88 @@
 	maxDeadlineMillis = 3_600_000
 	maxTasks          = 10_000
 	maxWeight         = 1_000_000
+	maxRunning        = 10_000_000
 )
 
 // Check tells what is wrong with a whole configuration, nil where nothing is.
 func Check(services []*wire.Service, teams []*wire.Team) error {
-	if len(services) > maxServices {
-		return invalid("there are %d services; %d at most", len(services), maxServices)
-	}
-	if len(teams) > maxTeams {
-		return invalid("there are %d teams; %d at most", len(teams), maxTeams)
-	}
+	c := &checker{where: func(path string) string { return path }}
+	c.file(services, teams)
+	return c.err
+}
+
+// checker keeps the first thing that is wrong.
+type checker struct {
+	// where turns the path of a field into what the user can find.
+	where func(path string) string
+	err   error
+}
+
+func (c *checker) file(services []*wire.Service, teams []*wire.Team) {
+	c.within("services", "services", int64(len(services)), 0, maxServices, "services")
+	c.within("teams", "teams", int64(len(teams)), 0, maxTeams, "teams")
 	seen := map[string]bool{}
-	for _, one := range services {
-		if err := checkService(one); err != nil {
-			return err
-		}
-		if seen[one.GetName()] {
-			return invalid("service %q is there twice", one.GetName())
-		}
-		seen[one.GetName()] = true
+	for i, one := range services {
+		at := fmt.Sprintf("services[%d]", i)
+		c.name(at, "service", one.GetName(), seen)
+		c.kinds(at, one)
 	}
 	seen = map[string]bool{}
-	for _, team := range teams {
-		if err := checkTeam(team); err != nil {
-			return err
-		}
-		if seen[team.GetName()] {
-			return invalid("team %q is there twice", team.GetName())
-		}
-		seen[team.GetName()] = true
+	for i, team := range teams {
+		at := fmt.Sprintf("teams[%d]", i)
+		c.name(at, "team", team.GetName(), seen)
+		c.within(at+".weight", "weight", int64(team.GetWeight()), 0, maxWeight, "shares")
+		c.within(at+".maxRunning", "maxRunning", int64(team.GetMaxRunning()), 0, maxRunning, "tasks")
 	}
-	return nil
 }
 
-func checkService(one *wire.Service) error {
-	if err := checkName("service", one.GetName()); err != nil {
-		return err
-	}
-	if n := len(one.GetKinds()); n == 0 || n > maxKinds {
-		return invalid("service %q has %d kinds; it needs 1 to %d", one.GetName(), n, maxKinds)
-	}
+func (c *checker) kinds(at string, one *wire.Service) {
+	c.within(at+".kinds", "the number of kinds", int64(len(one.GetKinds())), 1, maxKinds, "kinds")
 	seen := map[string]bool{}
-	for _, kind := range one.GetKinds() {
-		if err := checkKind(one.GetName(), kind); err != nil {
-			return err
-		}
-		if seen[kind.GetName()] {
-			return invalid("service %q has the kind %q twice", one.GetName(), kind.GetName())
+	for i, kind := range one.GetKinds() {
+		at := fmt.Sprintf("%s.kinds[%d]", at, i)
+		c.name(at, "kind", kind.GetName(), seen)
+		c.within(at+".expectedRunMillis", "expectedRunMillis", kind.GetExpectedRunMillis(), 0, maxRunMillis, "milliseconds")
+		c.within(at+".deadlineMillis", "deadlineMillis", kind.GetDeadlineMillis(), 0, maxDeadlineMillis, "milliseconds")
+		c.within(at+".maxTasks", "maxTasks", int64(kind.GetMaxTasks()), 0, maxTasks, "tasks")
+		if _, found := wire.Urgency_name[int32(kind.GetUrgency())]; !found {
+			c.wrong(at+".urgency", "urgency %d is unknown", kind.GetUrgency())
 		}
-		seen[kind.GetName()] = true
 	}
-	return nil
 }
 
-func checkKind(service string, kind *wire.Kind) error {
-	if err := checkName("kind", kind.GetName()); err != nil {
-		return err
+// name checks a name, and that it is not in seen.
+func (c *checker) name(at, what, name string, seen map[string]bool) {
+	at += ".name"
+	if name == "" {
+		c.wrong(at, "a %s has no name", what)
 	}
-	where := service + "." + kind.GetName()
-	for _, field := range []struct {
-		name       string
-		value, max int64
-		unit       string
-	}{
-		{"expectedRunMillis", kind.GetExpectedRunMillis(), maxRunMillis, "milliseconds"},
-		{"deadlineMillis", kind.GetDeadlineMillis(), maxDeadlineMillis, "milliseconds"},
-		{"maxTasks", int64(kind.GetMaxTasks()), maxTasks, "tasks"},
-	} {
-		if field.value < 0 || field.value > field.max {
-			return invalid("%s: %s is %d; 0 to %d %s", where, field.name, field.value, field.max, field.unit)
+	if len(name) > maxName {
+		c.wrong(at, "the name of %s %q is longer than %d bytes", what, name, maxName)
+	}
+	for _, r := range name {
+		if !nameRune(r) {
+			c.wrong(at, "the name of %s %q has the character %q; use letters, digits, '-', '_' and '.'", what, name, r)
 		}
 	}
-	if _, found := wire.Urgency_name[int32(kind.GetUrgency())]; !found {
-		return invalid("%s: urgency %d is unknown", where, kind.GetUrgency())
+	if seen[name] {
+		c.wrong(at, "%s %q is there twice", what, name)
 	}
-	return nil
+	seen[name] = true
 }
 
-func checkTeam(team *wire.Team) error {
-	if err := checkName("team", team.GetName()); err != nil {
-		return err
+func (c *checker) within(at, what string, value, low, high int64, unit string) {
+	if value < low || value > high {
+		c.wrong(at, "%s is %d; it must be from %d to %d %s", what, value, low, high, unit)
 	}
-	if team.GetWeight() > maxWeight {
-		return invalid("team %q: weight is %d; 0 to %d", team.GetName(), team.GetWeight(), maxWeight)
-	}
-	return nil
 }
 
-func checkName(what, name string) error {
-	if name == "" {
-		return invalid("a %s has no name", what)
-	}
-	if len(name) > maxName {
-		return invalid("the name of %s %q is longer than %d bytes", what, name, maxName)
+func (c *checker) wrong(at, format string, args ...any) {
+	if c.err == nil {
+		c.err = &Error{Op: "check", Kind: KindInvalid, Err: eris.New(c.where(at) + ": " + fmt.Sprintf(format, args...))}
 	}
-	for _, r := range name {
-		if !nameRune(r) {
-			return invalid("the name of %s %q has the character %q; letters, digits, '-', '_' and '.' only", what, name, r)
-		}
-	}
-	return nil
 }
 
 func nameRune(r rune) bool {
 	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.'
 }
-
-func invalid(format string, args ...any) error {
-	return &Error{Op: "check", Kind: KindInvalid, Err: eris.Errorf(format, args...)}
-}
--- a/lib/service/collect.go
+++ b/lib/service/collect.go
@@ -2,6 +2,8 @@
 package service
 
 import (
+	"errors"
+	"fmt"
 	"io/fs"
 	"path"
 
@@ -38,36 +40,83 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Collect reads every service file below the root of files into one.
+// Collect reads every service file below the root of files into one. Errors
+// name the file and the line.
 func Collect(files fs.FS) (*wire.ServiceFile, error) {
-	all := &wire.ServiceFile{}
-	found := 0
-	err := fs.WalkDir(files, ".", func(name string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || path.Base(name) != FileName {
-			return err
-		}
-		found++
-		return add(all, files, name)
-	})
-	if err != nil {
-		return nil, &Error{Op: "collect", Kind: KindFile, Err: err}
+	c := &collector{files: files, all: &wire.ServiceFile{}, owner: map[string]string{}}
+	if err := fs.WalkDir(files, ".", c.visit); err != nil {
+		return nil, &Error{Op: "collect", Kind: kindOf(err), Err: err}
 	}
-	if found == 0 {
+	if c.found == 0 {
 		return nil, &Error{Op: "collect", Kind: KindNone, Err: eris.Errorf("no file named %s here; put one beside each service's code", FileName)}
 	}
-	return all, nil
+	return c.all, nil
 }
 
-func add(all *wire.ServiceFile, files fs.FS, name string) error {
-	b, err := fs.ReadFile(files, name)
+// Read reads one service file; name stands for it in errors.
+func Read(name string, b []byte) (*wire.ServiceFile, *settings.Lines, error) {
+	file := &wire.ServiceFile{}
+	lines, err := settings.Read(name, b, file)
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &checker{where: lines.At}
+	c.file(file.GetServices(), file.GetTeams())
+	return file, lines, c.err
+}
+
+// collector gathers service files.
+type collector struct {
+	files fs.FS
+	all   *wire.ServiceFile
+	found int
+	// owner says where a service or team stands.
+	owner map[string]string
+}
+
+func (c *collector) visit(name string, d fs.DirEntry, err error) error {
+	if err != nil || d.IsDir() || path.Base(name) != FileName {
+		return err
+	}
+	c.found++
+	b, err := fs.ReadFile(c.files, name)
 	if err != nil {
 		return err
 	}
-	one := &wire.ServiceFile{}
-	if err := settings.Parse(name, b, one); err != nil {
+	file, lines, err := Read(name, b)
+	if err != nil {
 		return err
 	}
-	all.Services = append(all.Services, one.GetServices()...)
-	all.Teams = append(all.Teams, one.GetTeams()...)
+	for i, one := range file.GetServices() {
+		if err := c.own("service", one.GetName(), lines.At(fmt.Sprintf("services[%d].name", i))); err != nil {
+			return err
+		}
+	}
+	for i, team := range file.GetTeams() {
+		if err := c.own("team", team.GetName(), lines.At(fmt.Sprintf("teams[%d].name", i))); err != nil {
+			return err
+		}
+	}
+	c.all.Services = append(c.all.Services, file.GetServices()...)
+	c.all.Teams = append(c.all.Teams, file.GetTeams()...)
+	return nil
+}
+
+// own refuses a name that another file has.
+func (c *collector) own(what, name, where string) error {
+	if other, found := c.owner[what+" "+name]; found {
+		return &Error{Op: "check", Kind: KindInvalid, Err: eris.Errorf("%s: %s %q is also in %s; rename or drop one of them", where, what, name, other)}
+	}
+	c.owner[what+" "+name] = where
 	return nil
 }
+
+// kindOf tells a wrong file from one that cannot be read.
+func kindOf(err error) Kind {
+	var read *settings.Error
+	var check *Error
+	if errors.As(err, &read) || errors.As(err, &check) {
+		return KindInvalid
+	}
+	return KindFile
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -1,60 +1,56 @@
-// Package settings reads YAML files into messages of the schema and refuses
-// what the schema does not know.
+// Package settings reads YAML files into messages of the schema. It refuses
+// what the schema does not know and what is outside its range, and says where
+// in the file that is.
 package settings
 
 import (
-	"encoding/json"
+	"bytes"
+	"errors"
+	"io"
 	"os"
 
-	"github.com/rotisserie/eris"
 	"go.yaml.in/yaml/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 )
 
-// Kind sorts the errors of this package.
-type Kind int
-
-// The kinds of error.
-const (
-	KindFile Kind = iota + 1
-	KindSyntax
-)
-
-// Error is an error of this package.
-type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
-}
-
-// Error implements error.
-func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
-
-// Load reads the YAML file at path into m.
+// Load reads the YAML file at path into m and checks it.
 func Load(path string, m proto.Message) error {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return &Error{Op: "read settings", Kind: KindFile, Err: eris.Wrap(err, path)}
+		return failed(KindFile, path, "%v", err)
 	}
 	return Parse(path, b, m)
 }
 
-// Parse reads YAML text into m; name stands for the file in errors.
+// Parse reads YAML text into m and checks it; name stands for the file in
+// errors.
 func Parse(name string, b []byte, m proto.Message) error {
-	var tree any
-	if err := yaml.Unmarshal(b, &tree); err != nil {
-		return &Error{Op: "read settings", Kind: KindSyntax, Err: eris.Wrap(err, name)}
+	lines, err := Read(name, b, m)
+	if err != nil {
+		return err
+	}
+	return check(lines, m)
+}
+
+// Read reads YAML text into m without a look at ranges. It returns where each
+// field stands.
+func Read(name string, b []byte, m proto.Message) (*Lines, error) {
+	lines := &Lines{name: name, byPath: map[string]int{}}
+	decoder := yaml.NewDecoder(bytes.NewReader(b))
+	var document yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return lines, nil
 	}
-	text, err := json.Marshal(tree)
 	if err != nil {
-		return &Error{Op: "read settings", Kind: KindSyntax, Err: eris.Wrap(err, name)}
+		return nil, failed(KindSyntax, name, "%v", err)
+	}
+	if !errors.Is(decoder.Decode(&yaml.Node{}), io.EOF) {
+		return nil, failed(KindSyntax, name, "there is more than one document; write one to a file")
 	}
-	if err := protojson.Unmarshal(text, m); err != nil {
-		return &Error{Op: "read settings", Kind: KindSyntax, Err: eris.Wrap(err, name)}
+	r := &reader{lines: lines}
+	if err := r.message("", document.Content[0], m.ProtoReflect(), 0); err != nil {
+		return nil, err
 	}
-	return nil
+	return lines, nil
 }
