try: send again under the same key while the entry can't take the job

Cause: right after the start the ledger's views still change, and the entry says 503; one of two tries failed.

--- a/internal/cmd/cmd_try.go
+++ b/internal/cmd/cmd_try.go
@@ -184,18 +184,43 @@
 
 // tryAnswer is an answer and how long it took.
 type tryAnswer struct {
-	body []byte
-	took time.Duration
+	status int
+	body   []byte
+	took   time.Duration
 }
 
+// send submits the job, again under the same key while the entry says that it
+// can't take it yet.
 func (c *cmdTry) send(e *env, entry, key string, body []byte) (tryAnswer, error) {
-	r, err := http.NewRequestWithContext(e.ctx, http.MethodPost, "http://"+entry+"/v1/services/"+tryService+"/jobs", bytes.NewReader(body))
+	ctx, cancel := context.WithTimeout(e.ctx, tryPatience)
+	defer cancel()
+	for {
+		answer, err := post(ctx, e.client, entry, key, body)
+		if err != nil {
+			return tryAnswer{}, err
+		}
+		if answer.status == http.StatusOK {
+			return answer, nil
+		}
+		if answer.status != http.StatusServiceUnavailable {
+			return tryAnswer{}, &Error{Op: "try", Kind: KindFailed, Err: eris.Errorf("status %d: %s", answer.status, answer.body)}
+		}
+		select {
+		case <-ctx.Done():
+			return tryAnswer{}, &Error{Op: "try", Kind: KindFailed, Err: eris.Errorf("still status %d: %s", answer.status, answer.body)}
+		case <-time.After(tryPause):
+		}
+	}
+}
+
+func post(ctx context.Context, client *http.Client, entry, key string, body []byte) (tryAnswer, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/services/"+tryService+"/jobs", bytes.NewReader(body))
 	if err != nil {
 		return tryAnswer{}, err
 	}
 	r.Header.Set("Idempotency-Key", key)
 	begin := time.Now()
-	response, err := e.client.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return tryAnswer{}, &Error{Op: "try", Kind: KindFailed, Err: eris.Wrap(err, "no answer")}
 	}
@@ -204,8 +229,5 @@
 	if err != nil {
 		return tryAnswer{}, &Error{Op: "try", Kind: KindFailed, Err: eris.Wrap(err, "half an answer")}
 	}
-	if response.StatusCode != http.StatusOK {
-		return tryAnswer{}, &Error{Op: "try", Kind: KindFailed, Err: eris.Errorf("status %d: %s", response.StatusCode, text)}
-	}
-	return tryAnswer{body: text, took: time.Since(begin)}, nil
+	return tryAnswer{status: response.StatusCode, body: text, took: time.Since(begin)}, nil
 }
