--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -21,11 +21,15 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log)
+	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves as one control host until ctx ends.
-func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger) error {
+// Run serves as one control host until ctx ends. It calls ready once it listens.
+func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("control")
 	defer metrics.Close()
 	listener, err := process.Listen(cfg.GetListen())
@@ -33,8 +37,8 @@
 		return err
 	}
 	c := New(cfg, log, metrics)
-	server := process.New(listener, c.Handler(), log)
-	log.Info("Ready.", "address", server.Address())
+	server := process.New(security.Listener(listener), security.Guard(c.Handler()), log)
+	ready(server.Address(), "")
 	c.Run(ctx)
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -30,14 +30,21 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log)
+	return Run(ctx, cfg, log, process.LogReady(log))
 }
 
-// Run serves as one entry until ctx ends.
-func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger) error {
+// Run serves as one entry until ctx ends or an operator drains it, and then
+// leaves in good order. It calls ready once it listens.
+func Run(ctx context.Context, cfg *wire.EntrySettings, log *slog.Logger, ready process.ReadyFunc) error {
+	ctx, drain := context.WithCancel(ctx)
+	defer drain()
+	security, err := process.LoadSecurity(cfg.GetSecurity())
+	if err != nil {
+		return err
+	}
 	metrics := metric.New("entry")
 	defer metrics.Close()
-	client := process.NewClient()
+	client := security.Client()
 	listener, err := process.Listen(cfg.GetListen())
 	if err != nil {
 		return err
@@ -52,10 +59,21 @@
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client)
 	e := New(follower, records, client, limitsOf(cfg), log, metrics)
-	server := process.New(listener, e.Handler(), log)
-	log.Info("Ready.", "address", server.Address())
-	e.Run(ctx)
-	return server.Shutdown(context.WithoutCancel(ctx))
+	server := process.New(security.Listener(listener), security.Guard(process.WithDrain(e.Handler(), drain)), log)
+	ready(server.Address(), "")
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go e.Run(running)
+	<-ctx.Done()
+	return e.shutdown(running, server)
+}
+
+// shutdown leaves and then closes the server.
+func (e *Entry) shutdown(ctx context.Context, server *process.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
+	defer cancel()
+	e.Leave(ctx)
+	return server.Shutdown(ctx)
 }
 
 func limitsOf(cfg *wire.EntrySettings) *wire.EntryLimits {
