--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -78,7 +78,7 @@
 		return notStarted("agentLeaving"), nil
 	}
 	defer a.gate.Leave()
-	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
+	server, token, ok := a.slot(ctx, q)
 	if !ok {
 		return notStarted("voidToken"), nil
 	}
@@ -86,10 +86,20 @@
 	if reply == nil {
 		reply = a.run(ctx, server, q)
 	}
-	reply.Token = a.book.Return(q.GetCoordinator(), q.GetToken())
+	reply.Token = a.book.Return(q.GetCoordinator(), token)
 	return reply, nil
 }
 
+// slot takes the slot for a start: that of its token, or the next free one
+// where it has none. It returns the backend server and the token's number.
+func (a *Agent) slot(ctx context.Context, q *wire.StartRequest) (string, uint64, bool) {
+	if q.GetToken() == 0 {
+		return a.book.Enter(ctx, q.GetCoordinator(), q.GetService())
+	}
+	server, ok := a.book.Take(q.GetCoordinator(), q.GetToken())
+	return server, q.GetToken(), ok
+}
+
 // Ask implements wire.Agent.
 func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
 	return a.table.Ask(q), nil
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -13,6 +13,7 @@
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/settings"
+	"skylarklane.example/lib/slot"
 	"skylarklane.example/lib/wire"
 )
 
@@ -44,11 +45,12 @@
 	if err != nil {
 		return err
 	}
-	a := newAgent(cfg, process.Advertised(cfg.GetAdvertise(), listener), security.Client(), log, metrics)
+	client := security.Client()
+	a := newAgent(cfg, process.Advertised(cfg.GetAdvertise(), listener), client, log, metrics)
 	handler := security.Guard(process.WithDrain(a.Handler(), drain))
 	server := process.New(security.Listener(listener), handler, log)
 	announce := process.New(announceListener, a.AnnounceHandler(), log)
-	stop := a.start(context.WithoutCancel(ctx))
+	stop := a.start(context.WithoutCancel(ctx), client)
 	defer stop()
 	ready(server.Address(), announce.Address())
 	<-ctx.Done()
@@ -84,10 +86,11 @@
 
 // start runs the parts that work by themselves until the returned function is
 // called.
-func (a *Agent) start(ctx context.Context) context.CancelFunc {
+func (a *Agent) start(ctx context.Context, client *http.Client) context.CancelFunc {
 	ctx, stop := context.WithCancel(ctx)
 	go a.follower.Run(ctx)
 	go a.registry.Run(ctx)
+	go slot.NewOfferer(a.book, a.follower.Member().GetIncarnation(), a.follower, client, a.log).Run(ctx)
 	return stop
 }
 
--- a/lib/entry/leave.go
+++ b/lib/entry/leave.go
@@ -15,6 +15,7 @@
 func (e *Entry) Leave(ctx context.Context) {
 	e.log.Info("Leaving.", "jobs", e.gate.Inside())
 	e.gate.Close()
+	e.dispatcher.withdraw()
 	linger := time.NewTimer(lingerTime)
 	defer linger.Stop()
 	e.follower.Leave(ctx)
@@ -22,23 +23,17 @@
 		e.log.Warn("Jobs are still in flight.", "error", err)
 		return
 	}
+	e.dispatcher.giveBack(ctx)
 	select {
 	case <-linger.C:
 	case <-ctx.Done():
 	}
 }
 
-// refuseLeaving answers a submission that reached a leaving entry. The key may
-// run elsewhere, so the ledger is asked before anything is said.
-func (e *Entry) refuseLeaving(ctx context.Context, w http.ResponseWriter, key string) {
-	reply, err := e.ledger.Look(ctx, key)
-	switch {
-	case err != nil || reply.GetError() != 0:
-		problem(w, http.StatusServiceUnavailable, "failed", "unknownOutcome", "the entry is leaving and the ledger did not answer")
-	case reply.GetRecord() != nil:
-		writeRecord(w, key, reply.GetRecord())
-	default:
-		w.Header().Set("Retry-After", "1")
-		problem(w, http.StatusServiceUnavailable, "notRun", "entryLeaving", "this entry is leaving; ask another")
+// leavingRefusal is the refusal of submissions that reach a leaving entry.
+func leavingRefusal() *refusal {
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "entryLeaving", retryAfter: shortRetry,
+		detail: "this entry is leaving; ask another",
 	}
 }
--- /dev/null
+++ b/lib/slot/book_test.go
@@ -0,0 +1,154 @@
+package slot
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+var (
+	agentA = &wire.Incarnation{Id: "agent", Number: 1}
+	entryA = &wire.Incarnation{Id: "entryA", Number: 1}
+	entryB = &wire.Incarnation{Id: "entryB", Number: 2}
+)
+
+// claimAll leases every free slot to entry.
+func claimAll(b *Book, entry *wire.Incarnation) []*wire.Token {
+	return b.Claim(&wire.ClaimRequest{Entry: entry, Max: 1000}).GetTokens()
+}
+
+func TestTokenIsUsedOnce(t *testing.T) {
+	is := is.New(t)
+	b := New(agentA)
+	b.Open("server", "sizing", 1)
+	token := claimAll(b, entryA)[0]
+	server, ok := b.Take(entryA, token.GetNumber())
+	is.True(ok)
+	is.Equal(server, "server")
+	_, ok = b.Take(entryA, token.GetNumber())
+	is.True(!ok) // while it is in use
+	is.Equal(b.Return(entryA, token.GetNumber()).GetNumber(), token.GetNumber())
+	_, ok = b.Take(entryA, token.GetNumber())
+	is.True(ok) // again after its return
+}
+
+func TestLeaseRunsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(agentA)
+		b.Open("server", "sizing", 1)
+		token := claimAll(b, entryA)[0]
+		time.Sleep(LeaseTime)
+		is.Equal(b.Claim(&wire.ClaimRequest{Entry: entryA, Renewed: []uint64{token.GetNumber()}}).GetRenewed(), []uint64{token.GetNumber()})
+		time.Sleep(LeaseTime + leaseMargin + time.Millisecond)
+		_, ok := b.Take(entryA, token.GetNumber())
+		is.True(!ok)                          // void
+		is.Equal(len(claimAll(b, entryB)), 1) // and free for others
+	})
+}
+
+func TestTokensAreVoid(t *testing.T) {
+	cases := []struct {
+		name string
+		void func(b *Book, number uint64)
+		free int
+	}{
+		{"closed", func(b *Book, _ uint64) { b.Close("server") }, 0},
+		{"other service", func(b *Book, _ uint64) { b.Open("server", "tempering", 1) }, 1},
+		{"fewer slots", func(b *Book, _ uint64) { b.Open("server", "sizing", 0) }, 0},
+		{"entry gone", func(b *Book, _ uint64) { b.Retain(func(*wire.Incarnation) bool { return false }) }, 1},
+		{"given back", func(b *Book, n uint64) { b.Claim(&wire.ClaimRequest{Entry: entryA, Returned: []uint64{n}}) }, 1},
+		{"revoked", func(b *Book, n uint64) { b.Revoke([]*wire.Token{{Number: n}}) }, 1},
+		{"lost on the way", func(b *Book, _ uint64) {
+			time.Sleep(settleTime + time.Millisecond)
+			b.Claim(&wire.ClaimRequest{Entry: entryA, Complete: true})
+		}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := New(agentA)
+				b.Open("server", "sizing", 1)
+				number := claimAll(b, entryA)[0].GetNumber()
+				c.void(b, number)
+				_, ok := b.Take(entryA, number)
+				is.True(!ok)
+				is.Equal(len(claimAll(b, entryB)), c.free)
+			})
+		})
+	}
+}
+
+func TestClosedWhileBusy(t *testing.T) {
+	is := is.New(t)
+	b := New(agentA)
+	b.Open("server", "sizing", 1)
+	number := claimAll(b, entryA)[0].GetNumber()
+	_, ok := b.Take(entryA, number)
+	is.True(ok)
+	b.Close("server")
+	b.Open("server", "sizing", 1)         // back before the task has ended
+	is.Equal(len(claimAll(b, entryB)), 0) // the one slot is still in use
+	is.True(b.Return(entryA, number) != nil)
+}
+
+func TestLineIsServedInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(agentA)
+		b.Open("server", "sizing", 1)
+		_, first, ok := b.Enter(t.Context(), entryA, "sizing")
+		is.True(ok)
+		var order []int
+		for n := range 3 {
+			go func() {
+				_, number, _ := b.Enter(t.Context(), entryA, "sizing")
+				order = append(order, n)
+				b.Return(entryA, number)
+			}()
+			synctest.Wait()
+		}
+		is.Equal(b.Capacities()[0].GetQueued(), uint32(3))
+		is.True(b.Return(entryA, first) == nil) // a start without a token brings none
+		synctest.Wait()
+		is.Equal(order, []int{0, 1, 2})
+	})
+}
+
+func TestSplitIsEven(t *testing.T) {
+	cases := []struct {
+		slots, entries int
+		most, least    int
+	}{
+		{8, 1, 8, 8},
+		{8, 2, 4, 4},
+		{8, 3, 3, 2},
+		{8, 4, 2, 2},
+		{1, 4, 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.slots, " over ", c.entries), func(t *testing.T) {
+			is := is.New(t)
+			b := New(agentA)
+			b.Open("server", "sizing", c.slots)
+			var entries []*wire.Incarnation
+			for n := range c.entries {
+				entries = append(entries, &wire.Incarnation{Id: fmt.Sprint("entry", n)})
+			}
+			shares := b.Split(entries)
+			var sizes []int
+			for _, e := range entries {
+				sizes = append(sizes, len(shares[e]))
+			}
+			is.Equal(slices.Max(sizes), c.most)
+			is.Equal(slices.Min(sizes), c.least)
+		})
+	}
+}
