--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -40,7 +40,7 @@
 		follower: follower,
 		replica:  replica,
 		book:     book,
-		table:    task.New(self),
+		table:    task.New(self, follower, metrics.Scope()),
 		running:  newRunning(),
 		gate:     process.NewGate(),
 		registry: backend.New(book, metrics.Scope(), log),
@@ -101,8 +101,8 @@
 }
 
 // Ask implements wire.Agent.
-func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
-	return a.table.Ask(q), nil
+func (a *Agent) Ask(ctx context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
+	return a.table.Ask(ctx, q), nil
 }
 
 // Cancel implements wire.Agent.
--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -80,7 +80,7 @@
 		Rack:        cfg.GetRack(),
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
-	replica := ledger.New(member.GetIncarnation(), follower, client)
+	replica := ledger.New(member.GetIncarnation(), follower, follower, client, log, metrics.Scope())
 	return New(follower, replica, backend.NewRunner(backend.NewClient()), log, metrics)
 }
 
@@ -89,6 +89,7 @@
 func (a *Agent) start(ctx context.Context, client *http.Client) context.CancelFunc {
 	ctx, stop := context.WithCancel(ctx)
 	go a.follower.Run(ctx)
+	go a.replica.Run(ctx)
 	go a.registry.Run(ctx)
 	go slot.NewOfferer(a.book, a.follower.Member().GetIncarnation(), a.follower, client, a.log).Run(ctx)
 	return stop
--- a/lib/entry/answer.go
+++ b/lib/entry/answer.go
@@ -53,16 +53,6 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func writeRecord(w http.ResponseWriter, key string, record *wire.Record) {
-	if record.GetState() == wire.KeyState_KEY_STATE_FINISHED {
-		writeOutcome(w, key, record.GetOutcome())
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusAccepted)
-	_ = json.NewEncoder(w).Encode(map[string]string{"key": key, "state": "running"})
-}
-
 // failedStatus returns the HTTP status of a failed job.
 func failedStatus(outcome *wire.Outcome) int {
 	if outcome.GetReason() == reasonDeadline {
@@ -71,8 +61,18 @@
 	return http.StatusBadGateway
 }
 
+// writeOutcome answers with a recorded outcome.
 func writeOutcome(w http.ResponseWriter, key string, outcome *wire.Outcome) {
-	if outcome.GetKind() != wire.OutcomeKind_OUTCOME_KIND_COMPLETE {
+	switch {
+	case outcome.GetKind() == wire.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+		refuse(w, &refusal{
+			status: http.StatusServiceUnavailable, reason: outcome.GetReason(), detail: outcome.GetDetail(), retryAfter: shortRetry,
+		})
+		return
+	case outcome.GetTruncated() && outcome.GetKind() == wire.OutcomeKind_OUTCOME_KIND_COMPLETE:
+		problem(w, http.StatusGone, "", "answerNotKept", "the job is complete; its answer was too large to be kept")
+		return
+	case outcome.GetKind() != wire.OutcomeKind_OUTCOME_KIND_COMPLETE:
 		problem(w, failedStatus(outcome), "failed", outcome.GetReason(), outcome.GetDetail())
 		return
 	}
--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -24,6 +24,9 @@
 	metrics    *metric.Registry
 	limits     *wire.EntryLimits
 	gate       *process.Gate
+	client     *http.Client
+	jobs       *jobs
+	census     *census
 }
 
 // New returns an entry.
@@ -36,6 +39,9 @@
 		metrics:    metrics,
 		limits:     limits,
 		gate:       process.NewGate(),
+		client:     client,
+		jobs:       newJobs(),
+		census:     newCensus(follower),
 	}
 }
 
@@ -43,6 +49,7 @@
 func (e *Entry) Run(ctx context.Context) {
 	keep := &keeper{d: e.dispatcher}
 	go keep.loop(ctx)
+	go e.census.loop(ctx)
 	e.follower.Run(ctx)
 }
 
@@ -51,6 +58,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/services/{service}/jobs", e.submit)
 	mux.HandleFunc("GET /v1/jobs/{key}", e.show)
+	mux.HandleFunc("DELETE /v1/jobs/{key}", e.cancel)
 	mux.HandleFunc("GET /v1/admin/status", e.status)
 	mux.Handle(wire.EntryPathPrefix, wire.NewEntryServer(e, e.metrics.Hooks()))
 	mux.Handle("/metrics", e.metrics.Handler())
--- a/lib/entry/leave.go
+++ b/lib/entry/leave.go
@@ -23,6 +23,10 @@
 		e.log.Warn("Jobs are still in flight.", "error", err)
 		return
 	}
+	if err := e.jobs.wait(ctx); err != nil {
+		e.log.Warn("Jobs are still in flight.", "error", err)
+		return
+	}
 	e.dispatcher.giveBack(ctx)
 	select {
 	case <-linger.C:
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -62,7 +62,7 @@
 		Rack:        cfg.GetRack(),
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
-	records := ledger.NewClient(member.GetIncarnation(), follower, client)
+	records := ledger.NewClient(member.GetIncarnation(), follower, client, metrics.Scope())
 	e := New(follower, records, client, limitsOf(cfg), policy, log, metrics)
 	server := process.New(security.Listener(listener), security.Guard(process.WithDrain(e.Handler(), drain)), log)
 	ready(server.Address(), "")
--- a/lib/entry/record.go
+++ b/lib/entry/record.go
@@ -1,68 +1,142 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"net/http"
+	"time"
 
 	"skylarklane.example/lib/wire"
 )
 
+// answerGrace is how long after the deadline of a job its caller still waits
+// for the record of the outcome.
+const answerGrace = 5 * time.Second
+
+// answer runs a submission, or joins the run of its key, and tells the outcome.
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, s *submission) {
-	key, spec := s.key, s.spec
-	if r := e.admit(spec); r != nil {
-		e.refuseUnheld(ctx, w, s, r)
+	if refused := e.admit(s.spec); refused != nil {
+		e.refuseUnheld(ctx, w, s, refused)
 		return
 	}
-	hold, err := e.ledger.Hold(ctx, key, s.digest, s.submittedAt, spec)
-	switch {
-	case err != nil:
-		problem(w, http.StatusServiceUnavailable, "failed", "unknownOutcome", err.Error())
-		return
-	case hold.GetError() == wire.LedgerError_LEDGER_ERROR_CONFLICT:
-		problem(w, http.StatusConflict, "", "keyConflict", "the key was used with other content")
-		return
-	case hold.GetError() != wire.LedgerError_LEDGER_ERROR_NONE:
-		problem(w, http.StatusServiceUnavailable, "failed", "unknownOutcome", hold.GetError().String())
-		return
-	case !hold.GetGranted():
-		writeRecord(w, key, hold.GetRecord())
-		return
+	e.pursue(ctx, w, s, nil)
+}
+
+// refuseUnheld refuses a submission once the ledger has said that nobody holds
+// its key, and tells what became of the key otherwise.
+func (e *Entry) refuseUnheld(ctx context.Context, w http.ResponseWriter, s *submission, refused *refusal) {
+	e.pursue(ctx, w, s, refused)
+}
+
+func (e *Entry) pursue(ctx context.Context, w http.ResponseWriter, s *submission, refused *refusal) {
+	patience := time.NewTimer(time.Until(e.deadline(s.spec)) + answerGrace)
+	defer patience.Stop()
+	for {
+		j, mine := e.jobs.open(e.newJob(s, refused))
+		if mine {
+			e.begin(j)
+		}
+		p := &pursuit{e: e, w: w, s: s, job: j}
+		if p.answered(ctx, patience.C) {
+			return
+		}
 	}
-	outcome := e.dispatcher.Run(context.WithoutCancel(ctx), Job{Key: key, Spec: spec})
-	if _, err := e.ledger.Finish(context.WithoutCancel(ctx), key, outcome); err != nil {
-		problem(w, http.StatusServiceUnavailable, "failed", "unknownOutcome", err.Error())
-		return
+}
+
+func (e *Entry) newJob(s *submission, refused *refusal) *job {
+	return &job{
+		key: s.key, digest: s.digest, spec: s.spec, submittedAt: s.submittedAt,
+		deadline: e.deadline(s.spec), refused: refused, lasting: !e.idempotent(s.spec),
+	}
+}
+
+// begin starts the work on a job, which goes on when its callers go away.
+func (e *Entry) begin(j *job) {
+	var ctx context.Context
+	ctx, j.cancel = context.WithCancel(context.Background())
+	j.claim = e.ledger.NewClaim()
+	go newCoordinator(e, j).run(ctx)
+}
+
+func (e *Entry) deadline(spec *wire.JobSpec) time.Time {
+	return deadlineOf(Job{Spec: spec}, kindIn(e.follower.Directory(), spec.GetService(), spec.GetKind()), time.Now())
+}
+
+// idempotent tells whether a kind is known to be idempotent.
+func (e *Entry) idempotent(spec *wire.JobSpec) bool {
+	return kindIn(e.follower.Directory(), spec.GetService(), spec.GetKind()).GetIdempotent()
+}
+
+// pursuit is one caller's wait for a job.
+type pursuit struct {
+	e   *Entry
+	w   http.ResponseWriter
+	s   *submission
+	job *job
+}
+
+// answered waits for the job and answers the caller. It returns false where
+// the key is to be tried anew.
+func (p *pursuit) answered(ctx context.Context, patience <-chan time.Time) bool {
+	if !p.job.matches(p.s.digest) || p.s.async {
+		if !p.await(ctx, p.job.known, patience) {
+			return true
+		}
+		switch {
+		case p.job.held && !p.job.matches(p.s.digest):
+			p.e.conflict(p.w)
+			return true
+		case p.job.held && !p.ended():
+			running(p.w, p.s.key)
+			return true
+		}
 	}
-	writeOutcome(w, key, outcome)
+	if !p.await(ctx, p.job.done, patience) {
+		return true
+	}
+	if !p.job.matches(p.s.digest) || p.job.outcome == nil {
+		return false
+	}
+	p.e.tell(p.w, p.job)
+	return true
 }
 
-// refuseUnheld refuses a submission whose key the ledger does not know, and
-// tells what is known of the key otherwise.
-func (e *Entry) refuseUnheld(ctx context.Context, w http.ResponseWriter, s *submission, r *refusal) {
-	reply, err := e.ledger.Look(ctx, s.key)
-	switch {
-	case err != nil || reply.GetError() != wire.LedgerError_LEDGER_ERROR_NONE:
-		problem(w, http.StatusServiceUnavailable, "", "ledgerUnreachable", "the ledger did not answer")
-	case reply.GetRecord() == nil:
-		refuse(w, r)
-	case !bytes.Equal(reply.GetRecord().GetDigest(), s.digest):
-		problem(w, http.StatusConflict, "", "keyConflict", "the key was used with other content")
+func (p *pursuit) ended() bool {
+	select {
+	case <-p.job.done:
+		return true
 	default:
-		writeRecord(w, s.key, reply.GetRecord())
+		return false
 	}
 }
 
-func (e *Entry) show(w http.ResponseWriter, r *http.Request) {
-	key := r.PathValue("key")
-	reply, err := e.ledger.Look(r.Context(), key)
-	if err != nil || reply.GetError() != wire.LedgerError_LEDGER_ERROR_NONE {
-		problem(w, http.StatusServiceUnavailable, "", "ledgerUnreachable", "the ledger did not answer")
+// await waits for an event of the job. It returns false where the caller went
+// away or was told that the wait is over.
+func (p *pursuit) await(ctx context.Context, event <-chan struct{}, patience <-chan time.Time) bool {
+	select {
+	case <-event:
+		return true
+	case <-ctx.Done():
+	case <-patience:
+		p.e.metrics.Scope().Counter("unknown_outcomes").Inc(1)
+		problem(p.w, http.StatusGatewayTimeout, "failed", reasonUnknown, "the ledger has not confirmed the outcome in time")
+	}
+	return false
+}
+
+// tell answers with the outcome of a job that has ended.
+func (e *Entry) tell(w http.ResponseWriter, j *job) {
+	if j.outcome.GetKind() == wire.OutcomeKind_OUTCOME_KIND_NOT_RUN && j.refused != nil && j.outcome.GetReason() == j.refused.reason {
+		refuse(w, j.refused)
 		return
 	}
-	if reply.GetRecord() == nil {
-		problem(w, http.StatusNotFound, "", "unknownKey", "nothing is known of this key")
+	if j.outcome.GetReason() == reasonConflict {
+		e.conflict(w)
 		return
 	}
-	writeRecord(w, key, reply.GetRecord())
+	writeOutcome(w, j.key, j.outcome)
+}
+
+func (e *Entry) conflict(w http.ResponseWriter) {
+	e.metrics.Scope().Tagged(map[string]string{"reason": reasonConflict}).Counter("refusals").Inc(1)
+	problem(w, http.StatusConflict, "", reasonConflict, "the key was used with other content")
 }
--- a/lib/ledger/replica.go
+++ b/lib/ledger/replica.go
@@ -1,148 +1,173 @@
 // Package ledger keeps the record of submission keys on several agents, so
-// that no submission runs twice and every outcome can be told again.
+// that no submission runs twice and every outcome can be told again. It needs
+// a directory of views, a way to report to whoever sets them, and an HTTP
+// client; a Replica is a wire.Ledger to serve, a Client the way to it.
 package ledger
 
 import (
-	"bytes"
 	"context"
-	"hash/fnv"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"skylarklane.example/lib/wire"
 )
 
-// Directory is what a replica needs to know of the other members.
-type Directory interface {
-	Directory() *wire.Directory
-}
+const (
+	// replicateTimeout is how long a member may take to acknowledge.
+	replicateTimeout = time.Second
+	// followTimeout is how long a member waits for its directory to reach the
+	// epoch that it is asked under.
+	followTimeout = 600 * time.Millisecond
+	// reportTimeout bounds one report.
+	reportTimeout = 2 * time.Second
+	// reportInterval is the least time between reports of the same silence.
+	reportInterval = 500 * time.Millisecond
+	// defaultRetention is for directories that name none.
+	defaultRetention = 10 * time.Minute
+)
 
 // Replica is the part of the ledger that one agent keeps.
 type Replica struct {
 	self      *wire.Incarnation
 	directory Directory
+	control   Control
 	client    *http.Client
+	log       *slog.Logger
+	scope     tally.Scope
+	book      *book
+	answers   answers
+
+	mu       sync.Mutex
+	shards   map[uint32]*shard
+	holders  map[uint64]*wire.Incarnation
+	reported map[silence]time.Time
+}
 
-	mu      sync.Mutex
-	records map[string]*wire.Record
+// silence names a member that did not answer in a view.
+type silence struct {
+	shard  uint32
+	epoch  uint64
+	member uint64
 }
 
-// New returns an empty replica for the agent incarnation self.
-func New(self *wire.Incarnation, directory Directory, client *http.Client) *Replica {
-	return &Replica{self: self, directory: directory, client: client, records: map[string]*wire.Record{}}
+// New returns an empty replica for the agent incarnation self. Run keeps it.
+func New(self *wire.Incarnation, directory Directory, control Control, client *http.Client, log *slog.Logger, scope tally.Scope) *Replica {
+	return &Replica{
+		self:      self,
+		directory: directory,
+		control:   control,
+		client:    client,
+		log:       log,
+		scope:     scope.SubScope("ledger"),
+		book:      newBook(client),
+		answers:   answers{limit: answerBudget},
+		shards:    map[uint32]*shard{},
+		holders:   map[uint64]*wire.Incarnation{},
+		reported:  map[silence]time.Time{},
+	}
 }
 
-// Shard returns the shard of a key among n shards.
-func Shard(key string, n int) uint32 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(key))
-	return h.Sum32() % uint32(n)
+// Run follows the views, copies shards that this member joins, forgets old
+// keys and has the keys of lost entries taken over, until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	go r.copyLoop(ctx)
+	go r.adoptLoop(ctx)
+	r.sweepLoop(ctx)
 }
 
-// Hold implements wire.Ledger.
-func (r *Replica) Hold(ctx context.Context, q *wire.HoldRequest) (*wire.HoldReply, error) {
+// shard returns the named shard, as empty as it may be.
+func (r *Replica) shard(number uint32) *shard {
 	r.mu.Lock()
-	old := r.records[q.GetKey()]
-	if old != nil {
-		r.mu.Unlock()
-		return r.held(old, q), nil
-	}
-	record := &wire.Record{
-		Key:               q.GetKey(),
-		Digest:            q.GetDigest(),
-		State:             wire.KeyState_KEY_STATE_HELD,
-		Holder:            q.GetHolder(),
-		Sequence:          1,
-		SubmittedAtMillis: q.GetSubmittedAtMillis(),
-		HeldAtMillis:      time.Now().UnixMilli(),
-		Spec:              q.GetSpec(),
-	}
-	r.records[q.GetKey()] = record
-	r.mu.Unlock()
-	if code := r.replicate(ctx, q.GetShard(), q.GetEpoch(), record); code != wire.LedgerError_LEDGER_ERROR_NONE {
-		return &wire.HoldReply{Error: code}, nil
+	defer r.mu.Unlock()
+	s := r.shards[number]
+	if s == nil {
+		s = newShard(number)
+		r.shards[number] = s
 	}
-	return &wire.HoldReply{Granted: true}, nil
+	return s
 }
 
-// held answers a hold of a key that has a record.
-func (r *Replica) held(old *wire.Record, q *wire.HoldRequest) *wire.HoldReply {
-	if !bytes.Equal(old.GetDigest(), q.GetDigest()) {
-		return &wire.HoldReply{Error: wire.LedgerError_LEDGER_ERROR_CONFLICT}
+func (r *Replica) all() []*shard {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	found := make([]*shard, 0, len(r.shards))
+	for _, s := range r.shards {
+		found = append(found, s)
 	}
-	return &wire.HoldReply{Record: old}
+	return found
 }
 
-// Finish implements wire.Ledger.
-func (r *Replica) Finish(ctx context.Context, q *wire.FinishRequest) (*wire.FinishReply, error) {
-	r.mu.Lock()
-	old := r.records[q.GetKey()]
-	if old.GetState() == wire.KeyState_KEY_STATE_FINISHED {
-		r.mu.Unlock()
-		return &wire.FinishReply{Record: old}, nil
+// enter returns a shard and its view once the directory has reached epoch.
+func (r *Replica) enter(ctx context.Context, number uint32, epoch uint64) (*shard, *wire.View, wire.LedgerError) {
+	if !r.directory.Current() {
+		return nil, nil, r.refuse("notCurrent", wire.LedgerError_LEDGER_ERROR_NOT_CURRENT)
 	}
-	record := &wire.Record{
-		Key:               q.GetKey(),
-		Digest:            old.GetDigest(),
-		State:             wire.KeyState_KEY_STATE_FINISHED,
-		Holder:            q.GetHolder(),
-		Sequence:          old.GetSequence() + 1,
-		SubmittedAtMillis: old.GetSubmittedAtMillis(),
-		HeldAtMillis:      old.GetHeldAtMillis(),
-		Outcome:           q.GetOutcome(),
+	view := r.reach(ctx, number, epoch)
+	if view == nil {
+		return nil, nil, r.refuse("viewUnknown", wire.LedgerError_LEDGER_ERROR_STALE_VIEW)
 	}
-	r.records[q.GetKey()] = record
-	r.mu.Unlock()
-	return &wire.FinishReply{Error: r.replicate(ctx, q.GetShard(), q.GetEpoch(), record)}, nil
+	s := r.shard(number)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.follow(view, r.self)
+	return s, view, wire.LedgerError_LEDGER_ERROR_NONE
 }
 
-// Release implements wire.Ledger.
-func (r *Replica) Release(context.Context, *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
-	return &wire.ReleaseReply{Error: wire.LedgerError_LEDGER_ERROR_IN_DOUBT}, nil
-}
-
-// Look implements wire.Ledger.
-func (r *Replica) Look(_ context.Context, q *wire.LookRequest) (*wire.LookReply, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return &wire.LookReply{Record: r.records[q.GetKey()]}, nil
+// enterPrimary is enter for requests that only the primary serves.
+func (r *Replica) enterPrimary(ctx context.Context, number uint32, epoch uint64) (*shard, *wire.View, wire.LedgerError) {
+	s, view, code := r.enter(ctx, number, epoch)
+	if code == wire.LedgerError_LEDGER_ERROR_NONE && !same(view.GetPrimary(), r.self) {
+		return nil, nil, r.refuse("notPrimary", wire.LedgerError_LEDGER_ERROR_STALE_VIEW)
+	}
+	return s, view, code
 }
 
-// Replicate implements wire.Ledger.
-func (r *Replica) Replicate(_ context.Context, q *wire.ReplicateRequest) (*wire.ReplicateReply, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.records[q.GetRecord().GetKey()] = q.GetRecord()
-	return &wire.ReplicateReply{}, nil
+// reach waits a short time for a view with at least that epoch.
+func (r *Replica) reach(ctx context.Context, number uint32, epoch uint64) *wire.View {
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	for {
+		changed := r.directory.Changed()
+		view := viewOf(r.directory.Directory(), number)
+		if view != nil && view.GetEpoch() >= epoch {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
-// Copy implements wire.Ledger.
-func (r *Replica) Copy(context.Context, *wire.CopyRequest) (*wire.CopyReply, error) {
-	return &wire.CopyReply{Done: true}, nil
+func (r *Replica) retention() time.Duration {
+	if millis := r.directory.Directory().GetRetentionMillis(); millis > 0 {
+		return time.Duration(millis) * time.Millisecond
+	}
+	return defaultRetention
 }
 
-// replicate brings a record to every backup of the shard's view.
-func (r *Replica) replicate(ctx context.Context, shard uint32, epoch uint64, record *wire.Record) wire.LedgerError {
-	directory := r.directory.Directory()
-	if int(shard) >= len(directory.GetViews()) {
-		return wire.LedgerError_LEDGER_ERROR_STALE_VIEW
+// intern returns one shared value for equal incarnations.
+func (r *Replica) intern(who *wire.Incarnation) *wire.Incarnation {
+	if who == nil {
+		return nil
 	}
-	request := &wire.ReplicateRequest{Shard: shard, Epoch: epoch, Primary: r.self, Record: record}
-	for _, backup := range directory.GetViews()[shard].GetBackups() {
-		address := addressOf(directory, backup)
-		if _, err := wire.NewLedgerProtobufClient("http://"+address, r.client).Replicate(ctx, request); err != nil {
-			return wire.LedgerError_LEDGER_ERROR_IN_DOUBT
-		}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.holders[who.GetNumber()]
+	if known == nil || !same(known, who) {
+		known = &wire.Incarnation{Id: who.GetId(), Number: who.GetNumber()}
+		r.holders[who.GetNumber()] = known
 	}
-	return wire.LedgerError_LEDGER_ERROR_NONE
+	return known
 }
 
-func addressOf(directory *wire.Directory, who *wire.Incarnation) string {
-	for _, member := range directory.GetMembers() {
-		if member.GetIncarnation().GetId() == who.GetId() && member.GetIncarnation().GetNumber() == who.GetNumber() {
-			return member.GetAddress()
-		}
-	}
-	return ""
+// refuse counts a refusal by reason.
+func (r *Replica) refuse(reason string, code wire.LedgerError) wire.LedgerError {
+	r.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+	return code
 }
--- /dev/null
+++ b/lib/membership/report.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"skylarklane.example/lib/wire"
+)
+
+// Report passes an observation to the leader of the control group. It follows
+// one hint at the leader, and asks the hosts in turn otherwise.
+func (f *Follower) Report(ctx context.Context, q *wire.ReportRequest) error {
+	err := eris.New("there is no control host")
+	for _, address := range f.control {
+		var leader string
+		if leader, err = f.reportTo(ctx, address, q); err == nil && leader != "" {
+			leader, err = f.reportTo(ctx, leader, q)
+		}
+		if err == nil && leader == "" {
+			return nil
+		}
+	}
+	if err == nil {
+		err = eris.New("no control host leads")
+	}
+	return err
+}
+
+func (f *Follower) reportTo(ctx context.Context, address string, q *wire.ReportRequest) (leader string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Report(ctx, q)
+	return reply.GetLeader(), err
+}
