--- a/lib/agent/start.go
+++ b/lib/agent/start.go
@@ -88,7 +88,7 @@
 
 // known returns the state of a task that has started here before.
 func (a *Agent) known(q *wire.StartRequest) *wire.StartReply {
-	for _, status := range a.table.Ask(&wire.AskRequest{Job: q.GetJob(), Tasks: []uint32{q.GetTask()}, Agent: q.GetAgent()}).GetTasks() {
+	for _, status := range a.table.Ask(context.Background(), &wire.AskRequest{Job: q.GetJob(), Tasks: []uint32{q.GetTask()}, Agent: q.GetAgent()}).GetTasks() {
 		switch status.GetState() {
 		case wire.TaskState_TASK_STATE_RUNNING, wire.TaskState_TASK_STATE_DONE, wire.TaskState_TASK_STATE_FAILED:
 			return &wire.StartReply{State: status.GetState(), Reason: status.GetReason(), Result: status.GetResult()}
--- a/lib/entry/coordinator.go
+++ b/lib/entry/coordinator.go
@@ -65,6 +65,7 @@
 	defer cancel()
 	reply, err := c.e.ledger.Hold(patience, &wire.HoldRequest{
 		Key: c.job.key, Digest: c.job.digest, SubmittedAtMillis: c.job.submittedAt, Spec: c.job.spec, Claim: c.job.claim,
+		Idempotent: !c.job.lasting,
 	})
 	switch {
 	case err != nil:
--- a/lib/ledger/record.go
+++ b/lib/ledger/record.go
@@ -54,16 +54,16 @@
 // mayHold tells whether an incarnation may hold the key now: it is free, or
 // left from an earlier job of the same incarnation. A late request of such a
 // job may not.
-func (r *record) mayHold(who *wire.Incarnation, claim uint64) bool {
+func (r *record) mayHold(who *wire.Incarnation, claim uint64, idempotent bool) bool {
 	switch {
 	case r == nil:
 		return true
 	case r.state == wire.KeyState_KEY_STATE_HELD:
 		return same(r.holder, who) && claim > r.claim && len(r.former) == 0
-	case r.state == wire.KeyState_KEY_STATE_RELEASED && same(r.holder, who):
-		return claim > r.claim
+	case r.state == wire.KeyState_KEY_STATE_FINISHED, r.state == wire.KeyState_KEY_STATE_REFUSED && !idempotent:
+		return false
 	}
-	return r.state == wire.KeyState_KEY_STATE_RELEASED
+	return !same(r.holder, who) || claim > r.claim
 }
 
 // next returns a copy to change, one sequence number on.
--- a/lib/ledger/write.go
+++ b/lib/ledger/write.go
@@ -70,7 +70,7 @@
 // hold claims a key that nobody has.
 func (r *Replica) hold(q *wire.HoldRequest) change {
 	return func(s *shard, old *record) (*record, wire.LedgerError) {
-		if !old.mayHold(q.GetHolder(), q.GetClaim()) {
+		if !old.mayHold(q.GetHolder(), q.GetClaim(), q.GetIdempotent()) {
 			return nil, wire.LedgerError_LEDGER_ERROR_NONE
 		}
 		now := time.Now()
@@ -119,7 +119,7 @@
 		next.spec, next.claim = nil, q.GetClaim()
 		switch {
 		case old.heldBy(q.GetHolder(), q.GetClaim()):
-		case !old.mayHold(q.GetHolder(), q.GetClaim()):
+		case !old.mayHold(q.GetHolder(), q.GetClaim(), false):
 			return nil, wire.LedgerError_LEDGER_ERROR_NONE
 		default:
 			next.digest = [digestBytes]byte(q.GetDigest())
