--- a/lib/agent/agent.go
+++ b/lib/agent/agent.go
@@ -40,7 +40,7 @@
 		follower: follower,
 		replica:  replica,
 		book:     book,
-		table:    task.New(self),
+		table:    task.New(self, follower, metrics.Scope()),
 		running:  newRunning(),
 		gate:     process.NewGate(),
 		registry: backend.New(book, metrics.Scope(), log),
@@ -73,8 +73,8 @@
 }
 
 // Ask implements wire.Agent.
-func (a *Agent) Ask(_ context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
-	return a.table.Ask(q), nil
+func (a *Agent) Ask(ctx context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
+	return a.table.Ask(ctx, q), nil
 }
 
 // Cancel implements wire.Agent.
