load bench, rollout, recovery and report: every target beside its figure

Change: bench measures response, messages, own delay, starts, memory, recovery and configuration and prints the table with the rows that miss; rollout publishes many changes while processes restart; recovery kills one process at a time; report renders any result as Markdown; make measure repeats everything.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -5,7 +5,7 @@
 packages := $(addsuffix /...,$(modules))
 staticcheck := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: help build test format vet lint race spec process generate bench soak clean
+.PHONY: help build test format vet lint race spec process generate bench measure soak clean
 
 # help: list the targets.
 help:
@@ -42,6 +42,18 @@
 process: build
 	go test -count=1 -timeout 8m skylarklane.example/test/...
 
+# bench: measure every target and say which are missed (about five minutes).
+bench: build
+	bin/load bench
+
+# measure: run every experiment and measurement anew (about half an hour).
+measure: build
+	bin/load run $(filter-out experiments/quick.yaml experiments/bench.yaml,$(wildcard experiments/*.yaml))
+	bin/load slopes
+	bin/load rollout
+	bin/load recovery
+	bin/load bench
+
 # generate: make lib/wire anew from the schemas.
 generate:
 	proto/generate.sh
--- a/load/internal/cmd/cmd.go
+++ b/load/internal/cmd/cmd.go
@@ -13,10 +13,13 @@
 
 // commands are the command line of the program.
 type commands struct {
-	Run    cmdRun    `cmd:"" help:"Run an experiment and write its result as JSON, tables and a plot."`
-	Slopes cmdSlopes `cmd:"" help:"Measure processor time, memory and messages of each role against the number of agents and entries."`
-	Report cmdReport `cmd:"" help:"Render results as Markdown tables."`
-	Agents cmdAgents `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
+	Run      cmdRun      `cmd:"" help:"Run experiments and write the results as JSON, tables and plots."`
+	Slopes   cmdSlopes   `cmd:"" help:"Measure processor time, memory and messages of each role against the number of agents and entries."`
+	Rollout  cmdRollout  `cmd:"" help:"Publish many changes while processes restart, and time when each is in force."`
+	Recovery cmdRecovery `cmd:"" help:"Kill one process at a time, and time until new work is answered."`
+	Bench    cmdBench    `cmd:"" help:"Measure every target and print it beside what was measured."`
+	Report   cmdReport   `cmd:"" help:"Render results as Markdown tables."`
+	Agents   cmdAgents   `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
 }
 
 // env is what the commands share.
--- a/load/internal/fleet/fleet.go
+++ b/load/internal/fleet/fleet.go
@@ -110,6 +110,9 @@
 // EntryAddresses returns where the entries serve.
 func (f *Fleet) EntryAddresses() []string { return addresses(f.Entries) }
 
+// ControlAddresses returns where the control hosts serve; restarts keep them.
+func (f *Fleet) ControlAddresses() []string { return addresses(f.Controls) }
+
 // Starts returns what the stand-ins of this process have started.
 func (f *Fleet) Starts() []standin.Start {
 	var all []standin.Start
--- a/load/internal/fleet/publish.go
+++ b/load/internal/fleet/publish.go
@@ -88,19 +88,19 @@
 // directoryVersion is the newest that a control host tells.
 func (f *Fleet) directoryVersion(ctx context.Context) uint64 {
 	newest := uint64(0)
-	for n := range f.Controls {
-		if status, err := f.Status(ctx, n); err == nil {
+	for _, address := range f.ControlAddresses() {
+		if status, err := f.Status(ctx, address); err == nil {
 			newest = max(newest, status.GetDirectory().GetVersion())
 		}
 	}
 	return newest
 }
 
-// Status asks control host n.
-func (f *Fleet) Status(ctx context.Context, n int) (*wire.StatusReply, error) {
+// Status asks the control host at address.
+func (f *Fleet) Status(ctx context.Context, address string) (*wire.StatusReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return wire.NewControlProtobufClient("http://"+f.Controls[n].Address(), f.client).Status(ctx, &wire.StatusRequest{})
+	return wire.NewControlProtobufClient("http://"+address, f.client).Status(ctx, &wire.StatusRequest{})
 }
 
 // probe sends a job of one short task and returns ok or what came back.
--- a/load/internal/report/origin.go
+++ b/load/internal/report/origin.go
@@ -9,9 +9,10 @@
 	"time"
 )
 
-// NewOrigin returns the origin of a result that is measured now.
-func NewOrigin(args []string) Origin {
+// NewOrigin returns the origin of a result of the kind that is measured now.
+func NewOrigin(kind string, args []string) Origin {
 	return Origin{
+		Type:       kind,
 		Command:    "load " + strings.Join(args, " "),
 		Commit:     commit(),
 		Began:      time.Now().UTC().Format(time.RFC3339),
--- a/load/internal/report/result.go
+++ b/load/internal/report/result.go
@@ -36,6 +36,9 @@
 
 // Origin says where and how a result was measured.
 type Origin struct {
+	// Type tells the kinds of result apart: experiment, slopes, rollout,
+	// recovery or bench.
+	Type    string `json:"type"`
 	Command string `json:"command"`
 	Commit  string `json:"commit"`
 	Began   string `json:"began"`
--- a/load/internal/slope/keys.go
+++ b/load/internal/slope/keys.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"skylarklane.example/lib/wire"
 	"skylarklane.example/load/internal/fleet"
 )
 
@@ -20,21 +19,12 @@
 func (n *Runner) Keys(ctx context.Context, jobs int) Keys {
 	n.say("%d keys on %d agents", jobs, keyAgents)
 	k := Keys{Agents: keyAgents, Jobs: jobs}
-	var workers []*wire.Worker
-	for range keyAgents {
-		workers = append(workers, &wire.Worker{Speed: 1, Slots: slots})
-	}
-	f, err := fleet.New(ctx, fleet.Options{
-		Bin: n.bin, Controls: 1, Entries: 1, Workers: workers, Services: services(), Quiet: true,
-	})
-	if err == nil {
-		defer f.Close()
-		err = f.WaitReady(ctx)
-	}
+	f, err := n.small(ctx)
 	if err != nil {
 		k.Error = err.Error()
 		return k
 	}
+	defer f.Close()
 	flood := newFlood(f.EntryAddresses(), service, kind, "keys", 1)
 	flood.runFor(ctx, busyCallers, jobs/10, keyTimeout)
 	k.RSSBefore, k.EntryBefore = meanRSS(f.Agents), meanRSS(f.Entries)
--- a/load/internal/slope/runner.go
+++ b/load/internal/slope/runner.go
@@ -26,11 +26,6 @@
 	maxTasks    = 460
 )
 
-// Size is one size of the system.
-type Size struct {
-	Agents, Entries, Controls int
-}
-
 // Runner measures points.
 type Runner struct {
 	bin      string
@@ -97,10 +92,6 @@
 	fmt.Fprintf(n.progress, time.Now().Format(time.TimeOnly)+" "+format+"\n", args...)
 }
 
-func (s Size) point(phase string) Point {
-	return Point{Agents: s.Agents, Entries: s.Entries, Controls: s.Controls, Phase: phase}
-}
-
 func (p Point) withError(err error) Point {
 	p.Error = err.Error()
 	return p
