--- a/load/internal/experiment/cell.go
+++ b/load/internal/experiment/cell.go
@@ -53,14 +53,12 @@
 
 func (r *run) measure(ctx context.Context, c report.Cell) report.Cell {
 	countersBefore, usesBefore := r.fleet.Counters(ctx), r.uses()
-	before := len(r.fleet.Starts())
 	answers := r.call(ctx)
 	usesAfter := r.uses()
 	time.Sleep(flush)
-	starts := r.fleet.Starts()[before:]
 	c.Jobs, c.Tasks = len(r.jobs), trace.Tasks(r.jobs)
 	c.OfferedLoad = trace.Work(r.jobs).Seconds() / c.Seconds / trace.Capacity(r.experiment.GetWorkers())
-	c.Verdict = judge.New(answers, starts)
+	c.Verdict = judge.New(answers, r.fleet.Starts())
 	c.Uses = usesBetween(usesBefore, usesAfter)
 	c = c.WithCounters(r.fleet.Counters(ctx).Without(countersBefore))
 	healthy := r.experiment.GetWorkers()[r.cell.GetFailing():]
--- a/load/internal/judge/judge.go
+++ b/load/internal/judge/judge.go
@@ -36,12 +36,20 @@
 	first time.Time
 }
 
-// New returns the verdict on a run.
+// New returns the verdict on a run. Starts of jobs that have no answer here,
+// such as those by which a run is prepared, are left out.
 func New(answers []caller.Answer, starts []standin.Start) Verdict {
-	v := Verdict{Starts: len(starts)}
+	var v Verdict
 	tasks := map[id]int{}
 	jobs := map[string]started{}
+	for _, answer := range answers {
+		jobs[answer.Job.Key] = started{}
+	}
 	for _, start := range starts {
+		if _, ours := jobs[start.Job]; !ours {
+			continue
+		}
+		v.Starts++
 		one := id{start.Job, start.Task}
 		tasks[one]++
 		if tasks[one] == 1 {
--- a/load/internal/judge/judge_test.go
+++ b/load/internal/judge/judge_test.go
@@ -25,6 +25,7 @@
 		{"doubled", caller.Answer{Outcome: caller.Failed}, append(both, both...), Verdict{Starts: 4, Doubled: 2}},
 		{"false refusal", caller.Answer{Outcome: caller.NotRun, At: noon.Add(time.Second)}, both[:1], Verdict{Starts: 1, FalseRefusals: 1}},
 		{"true refusal", caller.Answer{Outcome: caller.NotRun}, nil, Verdict{}},
+		{"another job's start", caller.Answer{Outcome: caller.NotRun}, []standin.Start{{Job: "b", Task: "0", At: noon}}, Verdict{}},
 		{"lost", caller.Answer{Outcome: caller.Lost}, nil, Verdict{Lost: 1}},
 		{"unstarted", caller.Answer{Outcome: caller.Complete}, both[:1], Verdict{Starts: 1, Unstarted: 1}},
 		{"differs", caller.Answer{Outcome: caller.Complete, Again: &caller.Answer{Outcome: caller.Failed}}, both, Verdict{Starts: 2, Differing: 1}},
