load capacity and pages: the planned size from slopes, tables inside pages

Change: capacity works out each role's use at the planned size beside the budget and the size from which on it is passed; pages renders marked tables anew, so that a repeated run needs no editing. make measure repeats all.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -3,9 +3,10 @@
 modules := skylarklane.example/skylarklane skylarklane.example/agent skylarklane.example/control \
 	skylarklane.example/entry skylarklane.example/lib skylarklane.example/load skylarklane.example/test
 packages := $(addsuffix /...,$(modules))
+results := docs/results
 staticcheck := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: help build test format vet lint race spec process generate bench measure soak clean
+.PHONY: help build test format vet lint race spec process generate bench measure pages soak clean
 
 # help: list the targets.
 help:
@@ -48,11 +49,16 @@
 
 # measure: run every experiment and measurement anew (about half an hour).
 measure: build
-	bin/load run $(filter-out experiments/quick.yaml experiments/bench.yaml,$(wildcard experiments/*.yaml))
-	bin/load slopes
-	bin/load rollout
-	bin/load recovery
-	bin/load bench
+	bin/load run --out $(results) $(addprefix experiments/,$(addsuffix .yaml,sizing batch entries faults))
+	bin/load slopes --out $(results)
+	bin/load rollout --out $(results)
+	bin/load recovery --out $(results)
+	bin/load bench --out $(results)
+	$(MAKE) pages
+
+# pages: render the tables of the pages anew from the results.
+pages: build
+	bin/load pages --results $(results) docs/MEASUREMENTS.md docs/CAPACITY.md
 
 # generate: make lib/wire anew from the schemas.
 generate:
--- /dev/null
+++ b/load/internal/capacity/capacity.go
@@ -0,0 +1,161 @@
+// Package capacity works out from measured slopes what each role needs at a
+// planned size, beside its budget.
+package capacity
+
+import (
+	"fmt"
+	"io"
+
+	"skylarklane.example/load/internal/report"
+	"skylarklane.example/load/internal/rollout"
+	"skylarklane.example/load/internal/slope"
+)
+
+// Plan is the size to plan for, and the budget.
+type Plan struct {
+	Workers         float64
+	StartsPerSecond float64
+	TasksPerJob     float64
+	Entries         float64
+	DataCentres     float64
+	ChangesPerDay   float64
+	// Relays in each data centre pass heartbeats and changes on.
+	RelaysEach float64
+	// Retention of finished keys in seconds.
+	Retention float64
+	// Budget of a node for control.
+	BudgetCPU      float64 // per cent of a core
+	BudgetRSS      float64 // MB
+	BudgetKBSecond float64
+}
+
+const (
+	secondsPerDay = 86_400
+	percent       = 100
+	megabyte      = 1 << 20
+	kilobyte      = 1000
+	copies        = 3
+	microseconds  = 1e6
+)
+
+// Sheet renders the plan from what was measured.
+type Sheet struct {
+	plan    Plan
+	slopes  slope.Result
+	rollout rollout.Result
+}
+
+// New returns a sheet.
+func New(plan Plan, slopes slope.Result, changes rollout.Result) Sheet {
+	return Sheet{plan: plan, slopes: slopes, rollout: changes}
+}
+
+// Markdown writes the tables.
+func (s Sheet) Markdown(w io.Writer) {
+	fmt.Fprintln(w, "Slopes from:")
+	fmt.Fprintln(w)
+	s.slopes.Origin.Markdown(w)
+	s.origin(w, s.rollout.Origin)
+	s.steady(w)
+	s.traffic(w)
+	s.records(w)
+	s.changes(w)
+	s.relays(w)
+}
+
+func (s Sheet) origin(w io.Writer, o report.Origin) {
+	if o.Command != "" {
+		o.Markdown(w)
+	}
+}
+
+// steady is the use of a system without work, against the number of agents.
+func (s Sheet) steady(w io.Writer) {
+	p := s.plan
+	fmt.Fprintf(w, "Steady state of one process, no work, at %.0f workers (base + slope for each agent); \"from\" is the number of agents at which the budget is passed:\n\n", p.Workers)
+	fmt.Fprintln(w, "| role | CPU, % of a core | at size | budget | from | KB/s | at size | budget | from | RSS, MB | at size | budget | from |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, name := range []string{slope.Leader, slope.Follower, slope.Entry} {
+		f, ok := s.slopes.Fit(slope.Idle, name)
+		if !ok {
+			continue
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s |\n", name,
+			s.cells(f.CPU, p.BudgetCPU), s.cells(f.KBSecond, p.BudgetKBSecond), s.cells(f.RSS, p.BudgetRSS))
+	}
+	fmt.Fprintln(w)
+}
+
+// cells is a line, its value at the size, the budget and where that is passed.
+func (s Sheet) cells(l slope.Line, budget float64) string {
+	at := l.At(s.plan.Workers)
+	from := "never"
+	if l.Slope > 0 {
+		from = fmt.Sprintf("%.0f", max(0, (budget-l.Base)/l.Slope))
+	}
+	value := fmt.Sprintf("%.3g", at)
+	if at > budget {
+		value = "**" + value + "**"
+	}
+	return fmt.Sprintf("%.3g + %.3g n | %s | %.3g | %s", l.Base, l.Slope, value, budget, from)
+}
+
+// traffic is what starts cost beside the steady state.
+func (s Sheet) traffic(w io.Writer) {
+	p := s.plan
+	entry, agent, bytes := s.slopes.Costs()
+	perEntry, perAgent := p.StartsPerSecond/p.Entries, p.StartsPerSecond/p.Workers
+	fmt.Fprintf(w, "Work at %.0f starts/s: %.0f starts/s at each of %.0f entries, %.1f at each agent.\n\n", p.StartsPerSecond, perEntry, p.Entries, perAgent)
+	fmt.Fprintln(w, "| role | CPU µs a start | CPU, % of a core | bytes a start | KB/s |")
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	fmt.Fprintf(w, "| entry | %.1f | %.1f | %.0f | %.0f |\n", entry, entry*perEntry/microseconds*percent, bytes, bytes*perEntry/kilobyte)
+	fmt.Fprintf(w, "| agent with its stand-in | %.1f | %.2f | | |\n\n", agent, agent*perAgent/microseconds*percent)
+}
+
+// records is the memory of the ledger.
+func (s Sheet) records(w io.Writer) {
+	p := s.plan
+	jobs := p.StartsPerSecond / p.TasksPerJob
+	for _, k := range s.slopes.Keys {
+		if k.Error != "" || k.BytesPerRecord <= 0 {
+			continue
+		}
+		records := jobs * p.Retention * copies / p.Workers
+		base := k.RSSBefore / megabyte
+		room := max(0, p.BudgetRSS-base) * megabyte / k.BytesPerRecord
+		fmt.Fprintf(w, "Ledger at %.0f jobs/s (%.0f tasks a job), kept %.0f s: %.0f records at each agent, %.0f bytes each, %.1f MB beside %.1f MB of an agent with few; the budget of %.0f MB holds %.0f records, that is %.0f s at this rate.\n\n",
+			jobs, p.TasksPerJob, p.Retention, records, k.BytesPerRecord, records*k.BytesPerRecord/megabyte, base,
+			p.BudgetRSS, room, room*p.Workers/copies/jobs)
+	}
+}
+
+// changes is what configuration costs the leader when it tells each member.
+func (s Sheet) changes(w io.Writer) {
+	p, r := s.plan, s.rollout
+	if r.Accepted == 0 {
+		return
+	}
+	members := p.Workers + p.Entries
+	each := float64(r.ChangeBytes) * members
+	fmt.Fprintf(w, "Configuration: %.0f bytes a change (%d services, %d teams) to %.0f members, told by the leader: %.1f MB a change, %.1f KB/s over a day of %.0f changes (budget %.0f KB/s); at the budget one change takes %.0f s. Measured on one machine with 13 members: in force after %.2f s at p99; control host %.1f MB RSS and %.1f MB on disk after %d changes.\n\n",
+		float64(r.ChangeBytes), r.Options.Services, r.Options.Teams, members, each/megabyte,
+		each*p.ChangesPerDay/secondsPerDay/kilobyte, p.ChangesPerDay, p.BudgetKBSecond, each/kilobyte/p.BudgetKBSecond,
+		r.InForce.P99/kilobyte, float64(r.ControlRSS)/megabyte, float64(r.ControlDisk)/megabyte, r.Accepted)
+}
+
+// relays is the leader's part where relays speak for the members.
+func (s Sheet) relays(w io.Writer) {
+	p := s.plan
+	f, ok := s.slopes.Fit(slope.Idle, slope.Leader)
+	if !ok || f.Requests.Slope <= 0 {
+		return
+	}
+	relays := p.RelaysEach * p.DataCentres
+	renewal := f.KBSecond.Slope / f.Requests.Slope * kilobyte
+	cpu := f.CPU.Slope / f.Requests.Slope * microseconds / percent
+	fmt.Fprintf(w, "One renewal costs the leader %.0f bytes and %.0f µs; %.2f a second from each member. With %.0f relays that renew as often in the name of all, the leader spends %.2f%% of a core and %.2f KB/s on renewals",
+		renewal, cpu, f.Requests.Slope, relays, f.CPU.Slope*relays, f.KBSecond.Slope*relays)
+	change := float64(s.rollout.ChangeBytes) * relays
+	fmt.Fprintf(w, ", and %.2f KB/s on telling relays of changes of configuration; one change leaves it in %.1f s at the budget.\n\n",
+		change*p.ChangesPerDay/secondsPerDay/kilobyte, change/kilobyte/p.BudgetKBSecond)
+}
--- /dev/null
+++ b/load/internal/capacity/planned.go
@@ -0,0 +1,10 @@
+package capacity
+
+// Planned returns the size that the system is designed for, with its budget.
+// Entries, tasks a job, relays and retention are choices of ours.
+func Planned() Plan {
+	return Plan{
+		Workers: 1100, StartsPerSecond: 32_000, TasksPerJob: 12, Entries: 8, DataCentres: 7, ChangesPerDay: 2200,
+		RelaysEach: 2, Retention: 600, BudgetCPU: 4.4, BudgetRSS: 32, BudgetKBSecond: 27,
+	}
+}
--- a/load/internal/cmd/cmd.go
+++ b/load/internal/cmd/cmd.go
@@ -18,6 +18,8 @@
 	Rollout  cmdRollout  `cmd:"" help:"Publish many changes while processes restart, and time when each is in force."`
 	Recovery cmdRecovery `cmd:"" help:"Kill one process at a time, and time until new work is answered."`
 	Bench    cmdBench    `cmd:"" help:"Measure every target and print it beside what was measured."`
+	Capacity cmdCapacity `cmd:"" help:"Work out from slopes what each role needs at a planned size."`
+	Pages    cmdPages    `cmd:"" help:"Render the marked tables of pages anew from results."`
 	Report   cmdReport   `cmd:"" help:"Render results as Markdown tables."`
 	Agents   cmdAgents   `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
 }
--- /dev/null
+++ b/load/internal/cmd/cmd_pages.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"skylarklane.example/load/internal/capacity"
+	"skylarklane.example/load/internal/page"
+	"skylarklane.example/load/internal/report"
+	"skylarklane.example/load/internal/rollout"
+	"skylarklane.example/load/internal/slope"
+)
+
+// capacityResult is the name by which a page asks for the planned size.
+const capacityResult = "capacity"
+
+// cmdPages is `load pages docs/MEASUREMENTS.md docs/CAPACITY.md`.
+type cmdPages struct {
+	Results string   `help:"Folder of the results." default:"docs/results"`
+	Pages   []string `arg:"" help:"Pages whose marked tables are rendered anew." type:"existingfile"`
+}
+
+// Run fills each page.
+func (c *cmdPages) Run(*env) error {
+	for _, path := range c.Pages {
+		if err := c.fill(path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cmdPages) fill(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{Op: "pages", Kind: KindUsage, Err: eris.Wrap(err, path)}
+	}
+	filled, err := page.Fill(string(text), c.render)
+	if err != nil {
+		return &Error{Op: "pages", Kind: KindUsage, Err: eris.Wrap(err, path)}
+	}
+	return os.WriteFile(path, []byte(filled), 0o644)
+}
+
+func (c *cmdPages) render(name string) (string, error) {
+	var text strings.Builder
+	t, err := c.table(name)
+	if err != nil {
+		return "", err
+	}
+	t.Markdown(&text)
+	return text.String(), nil
+}
+
+func (c *cmdPages) table(name string) (table, error) {
+	if name != capacityResult {
+		return load(filepath.Join(c.Results, name+".json"))
+	}
+	var slopes slope.Result
+	if err := report.Load(filepath.Join(c.Results, "slopes.json"), &slopes); err != nil {
+		return nil, err
+	}
+	var changes rollout.Result
+	if err := report.Load(filepath.Join(c.Results, "rollout.json"), &changes); err != nil {
+		return nil, err
+	}
+	return capacity.New(capacity.Planned(), slopes, changes), nil
+}
--- a/load/internal/slope/table.go
+++ b/load/internal/slope/table.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"io"
-
-	"gonum.org/v1/gonum/stat"
 )
 
 const (
@@ -53,29 +51,15 @@
 }
 
 func (r Result) fit(w io.Writer, phase, name string) {
-	var agents, cpu, rss, bytes, requests []float64
-	for _, p := range r.Points {
-		role, ok := p.Role(name)
-		if !ok || p.Phase != phase || p.Entries != 1 {
-			continue
-		}
-		agents = append(agents, float64(p.Agents))
-		cpu = append(cpu, role.CPU*percent)
-		rss = append(rss, role.RSSBytes/megabyte)
-		bytes = append(bytes, role.BytesPerSecond/kilobyte)
-		requests = append(requests, role.RequestsPerSecond)
-	}
-	if len(agents) < 2 {
+	f, ok := r.Fit(phase, name)
+	if !ok {
 		return
 	}
-	fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s |\n", phase, name,
-		line(agents, cpu), line(agents, rss), line(agents, bytes), line(agents, requests))
+	fmt.Fprintf(w, "| %s | %s | %s | %s | %s | %s |\n", phase, name, f.CPU, f.RSS, f.KBSecond, f.Requests)
 }
 
-func line(x, y []float64) string {
-	base, slope := stat.LinearRegression(x, y, nil, false)
-	return fmt.Sprintf("%.3g + %.3g n", base, slope)
-}
+// String returns the line as base + slope n.
+func (l Line) String() string { return fmt.Sprintf("%.3g + %.3g n", l.Base, l.Slope) }
 
 func (r Result) keys(w io.Writer) {
 	for _, k := range r.Keys {
