Count wasted messages: probes, borrowings in vain, offers declined

Cause: probes travel as claims, which count as renewals, and nothing told borrowings and offers in vain from useful ones. Change: counters borrowings_in_vain and offers_declined at the entry; the report counts probes as work, one of two as wasted. Run: go test ./load/... ./lib/entry passes.

--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -169,6 +169,7 @@
 	defer cancel()
 	reply, err := l.peer.client.Borrow(ctx, request)
 	if err != nil || len(reply.GetTokens()) == 0 {
+		l.d.scope.Counter("borrowings_in_vain").Inc(1)
 		return false
 	}
 	l.d.mu.Lock()
--- a/lib/entry/peer.go
+++ b/lib/entry/peer.go
@@ -8,7 +8,11 @@
 
 // Offer implements wire.Entry.
 func (e *Entry) Offer(_ context.Context, q *wire.OfferRequest) (*wire.OfferReply, error) {
-	return e.dispatcher.offer(q), nil
+	reply := e.dispatcher.offer(q)
+	if reply.GetDeclined() {
+		e.metrics.Scope().Counter("offers_declined").Inc(1)
+	}
+	return reply, nil
 }
 
 // Borrow implements wire.Entry.
--- a/load/internal/report/messages.go
+++ b/load/internal/report/messages.go
@@ -18,7 +18,9 @@
 
 // Messages returns the messages of the cell by their use.
 func (c Cell) Messages() Messages {
-	var m Messages
+	probes := c.counter("entry_probes")
+	// Probes are sent as claims, which else are sent on a timer.
+	m := Messages{Work: probes * messagesPerRequest, Steady: -probes * messagesPerRequest}
 	for _, request := range c.Requests {
 		if steady(request.Name) {
 			m.Steady += request.Value * messagesPerRequest
@@ -26,12 +28,10 @@
 		}
 		m.Work += request.Value * messagesPerRequest
 	}
-	m.Wasted = max(0, c.request("Agent.Start")-float64(c.Verdict.Starts)) * messagesPerRequest
-	for _, counter := range c.Counters {
-		if strings.Contains(counter.Name, "_wasted") {
-			m.Wasted += counter.Value
-		}
-	}
+	vain := max(0, c.request("Agent.Start")-float64(c.Verdict.Starts)) +
+		c.counter("entry_borrowings_in_vain") + c.counter("entry_offers_declined")
+	// Of two probes, one leads to a start.
+	m.Wasted = vain*messagesPerRequest + probes
 	return m
 }
 
@@ -47,10 +47,14 @@
 	return strings.HasPrefix(method, "Control.") || method == "Agent.Claim"
 }
 
-func (c Cell) request(method string) float64 {
-	for _, request := range c.Requests {
-		if request.Name == method {
-			return request.Value
+func (c Cell) request(method string) float64 { return find(c.Requests, method) }
+
+func (c Cell) counter(name string) float64 { return find(c.Counters, name) }
+
+func find(counts []Count, name string) float64 {
+	for _, count := range counts {
+		if count.Name == name {
+			return count.Value
 		}
 	}
 	return 0
