publish and try wait until every member follows the change

Cause: accepted means committed; members follow within a quarter of a lease. Change: publish asks the control host which members have confirmed the directory that holds the change, says so, and names those that are behind (--no-wait skips it). Ruled out: sending the job again on any 400, which would hide real mistakes.

--- a/internal/cmd/cmd_publish.go
+++ b/internal/cmd/cmd_publish.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
@@ -20,6 +21,7 @@
 	Base     *uint64 `help:"Version that the change is based on; the one in force where absent."`
 	ChangeID string  `help:"Id of the change; the same id again gets the same answer." name:"change-id"`
 	Author   string  `help:"Who makes the change." default:"operator"`
+	Wait     bool    `help:"Wait until every member follows the change, 17 s at most." default:"true" negatable:""`
 	outputFlag
 }
 
@@ -27,6 +29,10 @@
 type published struct {
 	Version  uint64 `json:"version"`
 	ChangeID string `json:"changeId"`
+	// InForce tells whether every member was seen to follow the change.
+	InForce bool `json:"inForce"`
+	// Behind are the members that were not.
+	Behind []string `json:"behind,omitempty"`
 }
 
 // Help implements kong.HelpProvider.
@@ -67,8 +73,28 @@
 	if !reply.GetAccepted() {
 		return &Error{Op: "publish", Kind: KindRefused, Err: refusal(reply)}
 	}
-	title := fmt.Sprintf("version %d is accepted (change %s)", reply.GetVersion(), request.ChangeId)
-	return c.print(e, published{Version: reply.GetVersion(), ChangeID: request.ChangeId}, table{title: title})
+	return c.report(e, published{Version: reply.GetVersion(), ChangeID: request.ChangeId})
+}
+
+// report tells that a change is accepted, and whether it is in force.
+func (c *cmdPublish) report(e *env, p published) error {
+	title := fmt.Sprintf("version %d is accepted (change %s)", p.Version, p.ChangeID)
+	if !c.Wait {
+		return c.print(e, p, table{title: title})
+	}
+	found, err := c.awaitForce(e, p.Version)
+	if err != nil {
+		return err
+	}
+	p.Behind = found.behind
+	p.InForce = len(found.behind) == 0
+	if p.InForce {
+		title += fmt.Sprintf(" and in force at all %d members", found.members)
+	} else {
+		title += fmt.Sprintf("; %d of %d members have not confirmed it and take no new work until they do: %s",
+			len(found.behind), found.members, strings.Join(found.behind, ", "))
+	}
+	return c.print(e, p, table{title: title})
 }
 
 func (c *cmdPublish) base(e *env) (uint64, error) {
--- a/internal/cmd/cmd_try.go
+++ b/internal/cmd/cmd_try.go
@@ -85,7 +85,15 @@
 	if err != nil {
 		return &Error{Op: "try", Kind: KindFailed, Err: eris.Wrap(err, "publishing failed")}
 	}
-	fmt.Fprintf(e.out, "configuration version %d is in force\n", reply.GetVersion())
+	hosts := controlFlag{Control: []string{s.Control()}, Timeout: tryPatience}
+	found, err := hosts.awaitForce(e, reply.GetVersion())
+	if err != nil {
+		return err
+	}
+	if len(found.behind) > 0 {
+		return &Error{Op: "try", Kind: KindFailed, Err: eris.Errorf("members that do not follow the configuration: %v", found.behind)}
+	}
+	fmt.Fprintf(e.out, "configuration version %d is in force at all %d members\n", reply.GetVersion(), found.members)
 	return nil
 }
 
