--- a/lib/entry/coordinator.go
+++ b/lib/entry/coordinator.go
@@ -26,6 +26,9 @@
 	// digest and lasting are those of the record, where the job has none.
 	digest  []byte
 	lasting bool
+	// claimed is the claim in use: new with each try, so that a late request of an earlier one
+	// changes nothing.
+	claimed uint64
 	// forwarded tells that the holder was asked to cancel.
 	forwarded bool
 }
@@ -55,6 +58,7 @@
 // claim tries once to get the key, or to refuse it, and follows what the
 // ledger says.
 func (c *coordinator) claim(ctx context.Context) (outcome *wire.Outcome, again bool) {
+	c.claimed = c.e.ledger.NewClaim()
 	switch {
 	case c.job.spec == nil:
 		return c.adopt(ctx)
@@ -64,7 +68,7 @@
 	patience, cancel := context.WithDeadline(ctx, c.job.deadline)
 	defer cancel()
 	reply, err := c.e.ledger.Hold(patience, &wire.HoldRequest{
-		Key: c.job.key, Digest: c.job.digest, SubmittedAtMillis: c.job.submittedAt, Spec: c.job.spec, Claim: c.job.claim,
+		Key: c.job.key, Digest: c.job.digest, SubmittedAtMillis: c.job.submittedAt, Spec: c.job.spec, Claim: c.claimed,
 		Idempotent: !c.job.lasting,
 	})
 	switch {
@@ -105,13 +109,13 @@
 func (c *coordinator) finish(ctx context.Context, outcome *wire.Outcome, heldAtMillis int64) (*wire.Outcome, bool) {
 	reply, err := c.e.ledger.Finish(context.WithoutCancel(ctx), &wire.FinishRequest{
 		Key: c.job.key, Digest: c.digest, Outcome: outcome, Lasting: c.lasting,
-		SubmittedAtMillis: c.job.submittedAt, HeldAtMillis: heldAtMillis, Claim: c.job.claim,
+		SubmittedAtMillis: c.job.submittedAt, HeldAtMillis: heldAtMillis, Claim: c.claimed,
 	})
 	if err != nil {
 		return failedOutcome(reasonUnknown), false
 	}
 	record := reply.GetRecord()
-	if kept := record.GetOutcome(); kept.GetTruncated() && kept.GetKind() == outcome.GetKind() && record.GetClaim() == c.job.claim && c.isSelf(record.GetHolder()) {
+	if kept := record.GetOutcome(); kept.GetTruncated() && kept.GetKind() == outcome.GetKind() && record.GetClaim() == c.claimed && c.isSelf(record.GetHolder()) {
 		return outcome, false
 	}
 	return c.follow(ctx, record)
--- a/lib/entry/jobs.go
+++ b/lib/entry/jobs.go
@@ -13,8 +13,7 @@
 // time, however many callers wait for it, and it stays until the ledger has
 // said what stands.
 type job struct {
-	key   string
-	claim uint64
+	key string
 	// digest and spec are absent for keys that nobody has submitted here.
 	digest      []byte
 	spec        *wire.JobSpec
--- a/lib/entry/record.go
+++ b/lib/entry/record.go
@@ -53,7 +53,6 @@
 func (e *Entry) begin(j *job) {
 	var ctx context.Context
 	ctx, j.cancel = context.WithCancel(context.Background())
-	j.claim = e.ledger.NewClaim()
 	go newCoordinator(e, j).run(ctx)
 }
 
--- a/lib/entry/takeover.go
+++ b/lib/entry/takeover.go
@@ -21,7 +21,7 @@
 // takeOver brings the job of a lost entry to its end: tasks that are accounted
 // for are not started again, and those that provably never started are.
 func (c *coordinator) takeOver(ctx context.Context, record *wire.Record) (*wire.Outcome, bool) {
-	reply, err := c.e.ledger.Takeover(context.WithoutCancel(ctx), c.job.key, c.job.claim)
+	reply, err := c.e.ledger.Takeover(context.WithoutCancel(ctx), c.job.key, c.claimed)
 	switch {
 	case err != nil:
 		return failedOutcome(reasonUnknown), false
--- /dev/null
+++ b/lib/ledger/fake_test.go
@@ -0,0 +1,234 @@
+package ledger
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/wire"
+)
+
+// network carries requests between members in memory. Links can be cut, and
+// requests held back.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	cut      map[string]bool
+	messages int
+	bytes    int64
+}
+
+func newNetwork() *network {
+	return &network{handlers: map[string]http.Handler{}, cut: map[string]bool{}}
+}
+
+// client returns the client of the member named from.
+func (n *network) client(from string) *http.Client {
+	return &http.Client{Transport: link{network: n, from: from}}
+}
+
+// setCut cuts or mends the one-way link between two members.
+func (n *network) setCut(from, to string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[from+">"+to] = cut
+}
+
+type link struct {
+	network *network
+	from    string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l link) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.network.mu.Lock()
+	l.network.messages++
+	l.network.bytes += max(r.ContentLength, 0)
+	handler := l.network.handlers[r.URL.Host]
+	cut := l.network.cut[l.from+">"+r.URL.Host] || handler == nil
+	l.network.mu.Unlock()
+	if cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// fakeDirectory is a directory that tests change by hand.
+type fakeDirectory struct {
+	mu        sync.Mutex
+	directory *wire.Directory
+	changed   chan struct{}
+	lapsed    bool
+}
+
+func (d *fakeDirectory) Directory() *wire.Directory {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.directory
+}
+
+func (d *fakeDirectory) Current() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.lapsed
+}
+
+func (d *fakeDirectory) Changed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.changed
+}
+
+func (d *fakeDirectory) set(directory *wire.Directory) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.directory = directory
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *fakeDirectory) setLapsed(lapsed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lapsed = lapsed
+}
+
+// cluster is a few replicas and entries with one shard.
+type cluster struct {
+	t         testing.TB
+	network   *network
+	members   []*wire.Member
+	replicas  map[string]*Replica
+	clients   map[string]*Client
+	followers map[string]*fakeDirectory
+	view      *wire.View
+	dead      []*wire.Incarnation
+
+	mu      sync.Mutex
+	reports []*wire.ReportRequest
+}
+
+// Report implements Control.
+func (c *cluster) Report(_ context.Context, q *wire.ReportRequest) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, q)
+	return nil
+}
+
+func (c *cluster) reported() []*wire.ReportRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*wire.ReportRequest(nil), c.reports...)
+}
+
+// newCluster returns agents a1 to an and the entries e1 and e2. The first
+// three agents, or fewer, are the view.
+func newCluster(t testing.TB, n int) *cluster {
+	c := &cluster{
+		t: t, network: newNetwork(),
+		replicas: map[string]*Replica{}, clients: map[string]*Client{}, followers: map[string]*fakeDirectory{},
+	}
+	var agents []string
+	for i := range n {
+		agents = append(agents, fmt.Sprintf("a%d", i+1))
+	}
+	for _, id := range agents {
+		c.join(id, wire.Role_ROLE_AGENT)
+	}
+	for _, id := range []string{"e1", "e2"} {
+		c.join(id, wire.Role_ROLE_ENTRY)
+	}
+	c.view = &wire.View{}
+	c.publish(agents[0], agents[1:min(3, n)], nil)
+	return c
+}
+
+func (c *cluster) join(id string, role wire.Role) {
+	who := &wire.Incarnation{Id: id, Number: uint64(len(c.members) + 1)}
+	c.members = append(c.members, &wire.Member{Incarnation: who, Role: role, Address: id})
+	follower := &fakeDirectory{directory: &wire.Directory{}, changed: make(chan struct{})}
+	c.followers[id] = follower
+	if role == wire.Role_ROLE_ENTRY {
+		c.clients[id] = NewClient(who, follower, c.network.client(id), tally.NoopScope)
+		return
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	c.replicas[id] = New(who, follower, c, c.network.client(id), log, tally.NoopScope)
+	c.network.handlers[id] = wire.NewLedgerServer(c.replicas[id])
+}
+
+func (c *cluster) who(id string) *wire.Incarnation {
+	for _, member := range c.members {
+		if member.GetIncarnation().GetId() == id {
+			return member.GetIncarnation()
+		}
+	}
+	return nil
+}
+
+// publish makes the next view and tells the named followers, or all.
+func (c *cluster) publish(primary string, backups, joining []string, followers ...string) {
+	c.view = &wire.View{Epoch: c.view.GetEpoch() + 1, Primary: c.who(primary), LostAtMillis: c.view.GetLostAtMillis()}
+	for _, id := range backups {
+		c.view.Backups = append(c.view.Backups, c.who(id))
+	}
+	for _, id := range joining {
+		c.view.Joining = append(c.view.Joining, c.who(id))
+	}
+	c.tell(followers...)
+}
+
+// tell brings the newest directory to the named followers, or all.
+func (c *cluster) tell(followers ...string) {
+	directory := &wire.Directory{
+		Version: c.view.GetEpoch(), Members: c.members, Views: []*wire.View{c.view}, Dead: c.dead,
+		RetentionMillis: time.Hour.Milliseconds(),
+	}
+	for id, follower := range c.followers {
+		if len(followers) == 0 || has(followers, id) {
+			follower.set(directory)
+		}
+	}
+}
+
+func has(list []string, id string) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+func digestOf(content string) []byte {
+	sum := sha256.Sum256([]byte(content))
+	return sum[:]
+}
+
+// holdRequest asks for a key with some content.
+func holdRequest(key string, claim uint64) *wire.HoldRequest {
+	return &wire.HoldRequest{
+		Key: key, Digest: digestOf("content"), Claim: claim,
+		Spec: &wire.JobSpec{Service: "sizing", Kind: "finCheck", Payloads: [][]byte{[]byte("1")}},
+	}
+}
+
+func finishRequest(key string, claim uint64, kind wire.OutcomeKind) *wire.FinishRequest {
+	return &wire.FinishRequest{
+		Key: key, Digest: digestOf("content"), Claim: claim,
+		Outcome: &wire.Outcome{Kind: kind, Results: [][]byte{[]byte("2")}},
+	}
+}
--- /dev/null
+++ b/lib/ledger/replica_test.go
@@ -0,0 +1,460 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+const (
+	complete = wire.OutcomeKind_OUTCOME_KIND_COMPLETE
+	failed   = wire.OutcomeKind_OUTCOME_KIND_FAILED
+	notRun   = wire.OutcomeKind_OUTCOME_KIND_NOT_RUN
+)
+
+func TestOneHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		var granted atomic.Int64
+		var group sync.WaitGroup
+		for _, entry := range []string{"e1", "e2"} {
+			group.Go(func() {
+				reply, err := c.clients[entry].Hold(t.Context(), holdRequest("key", 1))
+				is.NoErr(err)
+				is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_HELD)
+				if reply.GetGranted() {
+					granted.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		is.Equal(granted.Load(), int64(1))
+		for _, replica := range c.replicas {
+			is.True(replica.shard(0).records["key"].taken())
+		}
+	})
+}
+
+func TestOtherContent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		q := holdRequest("key", 1)
+		q.Digest = digestOf("other")
+		reply, err := c.clients["e2"].Hold(t.Context(), q)
+		is.NoErr(err)
+		is.Equal(reply.GetError(), wire.LedgerError_LEDGER_ERROR_CONFLICT)
+	})
+}
+
+// TestAllMembers shows that a write waits for the last member, that a silent
+// one is reported, and that a view without it lets the write through.
+func TestAllMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.network.setCut("a1", "a3", true)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := c.clients["e1"].Hold(ctx, holdRequest("key", 1))
+		var inDoubt *Error
+		is.True(errors.As(err, &inDoubt))
+		is.Equal(inDoubt.Kind, KindInDoubt)
+		silent := c.reported()[0].GetSilent()
+		is.Equal(silent.GetMember().GetId(), "a3")
+		is.Equal(silent.GetEpoch(), uint64(1))
+
+		c.publish("a1", []string{"a2"}, nil)
+		reply, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		is.True(reply.GetGranted())
+	})
+}
+
+// TestDeposedPrimary shows that a primary which missed the new view neither
+// writes nor tells anything, as the member that both views share refuses.
+func TestDeposedPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		c.publish("a2", []string{"a3"}, nil, "a2", "a3", "e1")
+		_, err = c.clients["e1"].Finish(t.Context(), finishRequest("key", 1, complete))
+		is.NoErr(err)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err = c.clients["e2"].Look(ctx, "key")
+		is.True(err != nil) // it would still say held
+		_, err = c.clients["e2"].Hold(ctx, holdRequest("other", 1))
+		is.True(err != nil)
+		c.tell()
+		reply, err := c.clients["e2"].Look(t.Context(), "key")
+		is.NoErr(err)
+		is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_FINISHED)
+	})
+}
+
+// TestUnconfirmed shows that a new primary brings what only it has to the
+// others before it tells of it.
+func TestUnconfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.network.setCut("a1", "a3", true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := c.clients["e1"].Hold(ctx, holdRequest("key", 1))
+		is.True(err != nil)
+		c.publish("a2", []string{"a3"}, nil)
+		is.True(c.replicas["a3"].shard(0).records["key"] == nil)
+		reply, err := c.clients["e2"].Look(t.Context(), "key")
+		is.NoErr(err)
+		is.Equal(reply.GetRecord().GetHolder().GetId(), "e1")
+		is.True(c.replicas["a3"].shard(0).records["key"].taken())
+	})
+}
+
+func TestLapsedLease(t *testing.T) {
+	for _, id := range []string{"a1", "a2"} {
+		t.Run(id, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 3)
+				c.followers[id].setLapsed(true)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				_, err := c.clients["e1"].Hold(ctx, holdRequest("key", 1))
+				is.True(err != nil)
+				c.followers[id].setLapsed(false)
+				reply, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+				is.NoErr(err)
+				is.True(reply.GetGranted())
+			})
+		})
+	}
+}
+
+// TestJoin shows that a joining member has what was there before and what came
+// while it copied.
+func TestJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.publish("a1", []string{"a2"}, nil)
+		const n = 3 * copyPageRecords
+		for i := range n {
+			_, err := c.clients["e1"].Hold(t.Context(), holdRequest(fmt.Sprint("before", i), 1))
+			is.NoErr(err)
+		}
+		c.publish("a1", []string{"a2"}, []string{"a3"})
+		ctx, cancel := context.WithCancel(t.Context())
+		go c.replicas["a3"].copyLoop(ctx)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("while", 1))
+		is.NoErr(err)
+		for len(c.reported()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(c.reported()[0].GetCopied().GetEpoch(), uint64(3))
+		cancel()
+		c.publish("a3", nil, nil)
+		for _, key := range []string{"before0", fmt.Sprint("before", n-1), "while"} {
+			reply, err := c.clients["e2"].Look(t.Context(), key)
+			is.NoErr(err)
+			is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_HELD)
+		}
+	})
+}
+
+// TestCopyOfOldEpoch shows that a copy begun under an older view is not served.
+func TestCopyOfOldEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.publish("a1", []string{"a2"}, []string{"a3"})
+		reply, err := c.replicas["a1"].Copy(t.Context(), &wire.CopyRequest{Epoch: 1})
+		is.NoErr(err)
+		is.Equal(reply.GetError(), wire.LedgerError_LEDGER_ERROR_STALE_VIEW)
+	})
+}
+
+// TestOutOfView shows that a member which was dropped forgets its records.
+func TestOutOfView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		c.publish("a1", []string{"a2"}, nil)
+		c.replicas["a3"].copyAll(t.Context())
+		is.Equal(len(c.replicas["a3"].shard(0).records), 0)
+	})
+}
+
+// TestLateRequests sends requests of ended jobs again, after others.
+func TestLateRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		late func(c *cluster) error
+	}{
+		{"hold", func(c *cluster) error {
+			_, err := c.clients["e1"].Hold(c.t.Context(), holdRequest("key", 1))
+			return err
+		}},
+		{"release", func(c *cluster) error {
+			_, err := c.clients["e1"].Finish(c.t.Context(), finishRequest("key", 1, notRun))
+			return err
+		}},
+		{"finish", func(c *cluster) error {
+			_, err := c.clients["e1"].Finish(c.t.Context(), finishRequest("key", 1, complete))
+			return err
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 3)
+				_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+				is.NoErr(err)
+				reply, err := c.clients["e1"].Finish(t.Context(), finishRequest("key", 1, notRun))
+				is.NoErr(err)
+				is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_RELEASED)
+				is.NoErr(test.late(c)) // while the key is free
+				look, err := c.clients["e2"].Look(t.Context(), "key")
+				is.NoErr(err)
+				is.True(look.GetRecord() == nil)
+				hold, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 2))
+				is.NoErr(err)
+				is.True(hold.GetGranted())
+				is.NoErr(test.late(c)) // while the next job runs
+				look, err = c.clients["e2"].Look(t.Context(), "key")
+				is.NoErr(err)
+				is.Equal(look.GetRecord().GetState(), wire.KeyState_KEY_STATE_HELD)
+				is.Equal(look.GetRecord().GetClaim(), uint64(2))
+			})
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name       string
+		lasting    bool
+		idempotent bool
+		granted    bool
+	}{
+		{"unrepeatable", true, false, false},
+		{"unknown kind, known later", true, true, true},
+		{"idempotent", false, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 3)
+				q := finishRequest("key", 1, notRun)
+				q.Lasting = test.lasting
+				reply, err := c.clients["e1"].Finish(t.Context(), q)
+				is.NoErr(err)
+				is.Equal(reply.GetRecord().GetOutcome().GetKind(), notRun)
+				late := holdRequest("key", 1)
+				late.Idempotent = test.idempotent
+				hold, err := c.clients["e2"].Hold(t.Context(), late)
+				is.NoErr(err)
+				is.Equal(hold.GetGranted(), test.granted)
+			})
+		})
+	}
+}
+
+// TestRefusalOfHeldKey shows that a held key is not refused.
+func TestRefusalOfHeldKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		reply, err := c.clients["e2"].Finish(t.Context(), finishRequest("key", 1, notRun))
+		is.NoErr(err)
+		is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_HELD)
+		is.Equal(reply.GetRecord().GetHolder().GetId(), "e1")
+	})
+}
+
+func TestTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		reply, err := c.clients["e2"].Takeover(t.Context(), "key", 1)
+		is.NoErr(err)
+		is.Equal(reply.GetError(), wire.LedgerError_LEDGER_ERROR_NOT_HOLDER) // e1 lives
+		c.dead = append(c.dead, c.who("e1"))
+		c.tell()
+		reply, err = c.clients["e2"].Takeover(t.Context(), "key", 1)
+		is.NoErr(err)
+		is.True(reply.GetGranted())
+		is.Equal(len(reply.GetRecord().GetFormer()), 1)
+		is.Equal(len(reply.GetRecord().GetSpec().GetPayloads()), 1)
+		finish, err := c.clients["e1"].Finish(t.Context(), finishRequest("key", 1, complete))
+		is.NoErr(err)
+		is.Equal(finish.GetRecord().GetHolder().GetId(), "e2") // e1 wakes too late
+		is.Equal(finish.GetRecord().GetState(), wire.KeyState_KEY_STATE_HELD)
+	})
+}
+
+// TestTotalLoss restarts the shard at another agent, without its records.
+func TestTotalLoss(t *testing.T) {
+	old := []struct {
+		name    string
+		key     string
+		stamp   func(lost time.Time) int64
+		granted bool
+	}{
+		{"no stamp", "key", func(time.Time) int64 { return 0 }, false},
+		{"older", "key", func(lost time.Time) int64 { return lost.Add(-time.Minute).UnixMilli() }, false},
+		{"within the clocks' skew", "key", func(lost time.Time) int64 { return lost.Add(time.Second).UnixMilli() }, false},
+		{"in the future", "key", func(lost time.Time) int64 { return lost.Add(time.Hour).UnixMilli() }, false},
+		{"younger", "key", func(lost time.Time) int64 { return lost.Add(time.Minute).UnixMilli() }, true},
+	}
+	for _, test := range old {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 4)
+				lost := time.Now()
+				c.view.LostAtMillis = lost.UnixMilli()
+				c.publish("a4", nil, nil)
+				time.Sleep(2 * time.Minute)
+				q := holdRequest(test.key, 1)
+				q.SubmittedAtMillis = test.stamp(lost)
+				reply, err := c.clients["e1"].Hold(t.Context(), q)
+				is.NoErr(err)
+				is.Equal(reply.GetGranted(), test.granted)
+				if !test.granted {
+					is.Equal(reply.GetRecord().GetOutcome().GetReason(), reasonUnknown)
+				}
+			})
+		})
+	}
+}
+
+// TestFinishAfterTotalLoss shows that the outcome of a job that was held before
+// is taken, but not after another answer was given.
+func TestFinishAfterTotalLoss(t *testing.T) {
+	tests := []struct {
+		name   string
+		copied bool
+		kind   wire.OutcomeKind
+	}{
+		{"first", false, complete},
+		{"after a copy of the submission", true, failed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 4)
+				hold, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+				is.NoErr(err)
+				c.view.LostAtMillis = time.Now().UnixMilli()
+				c.publish("a4", nil, nil)
+				if test.copied {
+					_, err := c.clients["e2"].Hold(t.Context(), holdRequest("key", 1))
+					is.NoErr(err)
+				}
+				q := finishRequest("key", 1, complete)
+				q.HeldAtMillis = hold.GetRecord().GetHeldAtMillis()
+				reply, err := c.clients["e1"].Finish(t.Context(), q)
+				is.NoErr(err)
+				is.Equal(reply.GetRecord().GetOutcome().GetKind(), test.kind)
+			})
+		})
+	}
+}
+
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		stamp := time.Now().UnixMilli()
+		q := holdRequest("key", 1)
+		q.SubmittedAtMillis = stamp
+		_, err := c.clients["e1"].Hold(t.Context(), q)
+		is.NoErr(err)
+		_, err = c.clients["e1"].Finish(t.Context(), finishRequest("key", 1, complete))
+		is.NoErr(err)
+		time.Sleep(time.Hour)
+		c.replicas["a1"].sweep(time.Now())
+		reply, err := c.clients["e2"].Hold(t.Context(), q)
+		is.NoErr(err)
+		is.Equal(reply.GetRecord().GetOutcome().GetKind(), complete) // still kept
+		time.Sleep(time.Minute)
+		for _, replica := range c.replicas {
+			replica.sweep(time.Now())
+		}
+		look, err := c.clients["e2"].Look(t.Context(), "key")
+		is.NoErr(err)
+		is.True(look.GetRecord() == nil)
+		reply, err = c.clients["e2"].Hold(t.Context(), q)
+		is.NoErr(err)
+		is.Equal(reply.GetError(), wire.LedgerError_LEDGER_ERROR_UNKNOWN_OUTCOME) // it may have run
+	})
+}
+
+// TestAbandoned shows that the primary asks an entry to take a dead entry's
+// key over.
+func TestAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		_, err := c.clients["e1"].Hold(t.Context(), holdRequest("key", 1))
+		is.NoErr(err)
+		directory := c.followers["a1"].Directory()
+		is.Equal(len(c.replicas["a1"].abandoned(c.replicas["a1"].shard(0), directory)), 0)
+		c.dead = append(c.dead, c.who("e1"))
+		c.tell()
+		found := c.replicas["a1"].abandoned(c.replicas["a1"].shard(0), c.followers["a1"].Directory())
+		is.Equal(len(found), 1)
+		is.Equal(found[0].GetKey(), "key")
+	})
+}
+
+func TestAnswerBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 1)
+		c.replicas["a1"].answers.limit = 2 * MaxAnswerBytes
+		sizes := []int{MaxAnswerBytes + 1, MaxAnswerBytes / 2, MaxAnswerBytes - 100, MaxAnswerBytes - 100}
+		for n, size := range sizes {
+			key := fmt.Sprint("key", n)
+			_, err := c.clients["e1"].Hold(t.Context(), holdRequest(key, 1))
+			is.NoErr(err)
+			q := finishRequest(key, 1, complete)
+			q.Outcome.Results = [][]byte{make([]byte, size)}
+			_, err = c.clients["e1"].Finish(t.Context(), q)
+			is.NoErr(err)
+		}
+		for n, truncated := range []bool{true, true, false, false} {
+			reply, err := c.clients["e2"].Look(t.Context(), fmt.Sprint("key", n))
+			is.NoErr(err)
+			is.Equal(reply.GetRecord().GetOutcome().GetKind(), complete)
+			is.Equal(reply.GetRecord().GetOutcome().GetTruncated(), truncated)
+		}
+	})
+}
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -1,16 +1,15 @@
 /*
  * The ledger: at most one start for a submission key, true refusals, one
- * outcome. One key, one task, two entries that both get a copy of the
+ * outcome. One key, one task, two entries that each get a copy of the
  * submission, three agents. Agents 0 and 1 are the first view; agent 2 is an
- * incarnation that joins later. A process that crashed is one that takes no
- * further step, so every property here is a safety property.
+ * incarnation that joins later. Tasks run at agents 1 and 2. A process that
+ * has crashed is one that takes no further step, so all properties here are
+ * safety properties, asserted where they could break.
  *
- * Each guard has a macro that removes it (spec/check.sh); the checker must
- * then find a violation.
+ * Each guard has a macro that removes it; check.sh requires that the checker
+ * then finds a violation. The macros EPOCHS, DEATHS, LATE and AGAIN bound the
+ * environment.
  */
-#define AGENTS  3
-#define ENTRIES 2
-/* Budgets of the environment; check.sh runs several combinations. */
 #ifndef EPOCHS
 #define EPOCHS 3            /* views, the first included */
 #endif
@@ -18,12 +17,27 @@
 #define DEATHS 1            /* agents declared dead */
 #endif
 #ifndef LATE
-#define LATE 0              /* requests that arrive late, after another copy */
+#define LATE 0              /* requests that arrive after a newer copy */
 #endif
-#define BIT(n)  (1 << (n))
+#ifndef LOST
+#define LOST 0              /* entry 0 may be declared dead */
+#endif
+#ifndef LOSSES
+#define LOSSES 1            /* replies of primaries that are lost */
+#endif
+#ifndef JOIN
+#define JOIN 0              /* agent 2 may join the system, and run tasks */
+#endif
+#ifndef AGAIN
+#define AGAIN 0             /* an entry may get another copy after notRun */
+#endif
+
+#define VIEWS     4
+#define CLAIMS    2
+#define BIT(n)    (1 << (n))
 #define HAS(m, n) (((m) >> (n)) & 1)
 
-/* Record.state (proto/ledger.proto KeyState; Finished is told by outcome). */
+/* KeyState; Finished is split by outcome. */
 #define None     0
 #define Held     1
 #define Complete 2
@@ -32,75 +46,76 @@
 #define Released 5
 
 /* Requests to a primary. */
-#define Hold     1
-#define Takeover 2
+#define Hold           1
+#define Takeover       2
 #define FinishComplete 3
 #define FinishFailed   4
-#define Release  5
-#define Refuse   6
-#define Look     7
+#define FinishNotRun   5
+#define Look           6
 
-/* Task states at an agent. */
+/* TaskState at an agent; Barred can't start from any request on its way. */
 #define NotStarted 0
 #define Running    1
 #define Done       2
-#define TaskFailed 3
-#define Barred     4
+#define Barred     3
 
 /* Phases of an entry. */
-#define Idle     0
-#define Asking   1
-#define Waiting  2
-#define Holding  3
-#define Started  4
-#define Fencing  5
-#define Told     6
-
-/* ---- control group ---- */
+#define Idle    0
+#define Asking  1
+#define Waiting 2
+#define Holding 3
+#define Started 4
+#define Fencing 5
+#define Told    6
+
+/* ---- control group: directory and views ---- */
 byte epoch;
-byte primaryOf[EPOCHS];
-byte members[EPOCHS];
-byte joining[EPOCHS];
-bool lost;                  /* the shard was restarted with lost_at_millis */
-bool lostAt[EPOCHS];
-bool dead[ENTRIES];         /* entry incarnations declared dead */
-bool agentDead[AGENTS];     /* agent incarnations declared dead */
+byte primary[VIEWS];
+byte members[VIEWS];
+byte joining[VIEWS];
+bool lostAt[VIEWS];        /* the shard was restarted without its records */
+bool dead;                  /* entry 0 is declared dead; it may be frozen only */
+bool agentDead[3];
 byte deaths;
-bool joined2;               /* agent 2 is a member of the system */
+bool joined;                /* agent 2 is a member of the system */
 
 /* ---- agents ---- */
-byte seen[AGENTS];          /* newest epoch in the agent's directory */
-byte state[AGENTS], holder[AGENTS], origin[AGENTS], sequence[AGENTS], written[AGENTS];
-bool copied;                /* agent 2 holds a whole copy for its epoch */
-byte fenced[AGENTS];        /* mask of entry incarnations */
-byte coordinators[AGENTS];  /* the agent's copy of the membership */
-byte task[AGENTS];
-
-/* one write or read under way at a primary: the key lock */
-byte opKind[AGENTS], opEntry[AGENTS], opEpoch[AGENTS], opAcked[AGENTS];
-bool opDeaf[AGENTS], opChanged[AGENTS];
-byte opState[AGENTS], opHolder[AGENTS], opOrigin[AGENTS], opSequence[AGENTS];
+byte seen[3];               /* newest epoch in the agent's directory */
+byte state[3], holder[3], claim[3], origin[3], sequence[3], written[3];
+bool former[3];             /* the record was taken over */
+bool copied;                /* agent 2 holds a whole copy */
+bool fenced[3];             /* entry 0 is fenced */
+bool stranger;              /* agent 2's directory never had entry 0 alive */
+byte task[3];
+
+/* one write or read under way at a primary, under the lock of the key */
+byte opKind[3], opEntry[3], opClaim[3], opEpoch[3], opAcked[3];
+bool opDeaf[3], opChanged[3];
+byte opState[3], opHolder[3], opHolderClaim[3], opOrigin[3], opSequence[3];
+bool opFormer[3];
 
 /* ---- entries ---- */
-byte phase[ENTRIES];
-byte asked[ENTRIES];        /* kind of the request that waits for a reply */
-byte sent[ENTRIES];         /* request in flight, 0 if taken or lost */
-byte late[ENTRIES];         /* an older copy of a request, still in flight */
-bool spent;                 /* one late copy in all */
-byte from[ENTRIES];         /* whose copy of the submission the entry runs */
-byte starts_to[ENTRIES];    /* mask of agents with a start in flight */
-byte at[ENTRIES];           /* agent of the start in question */
-byte fenceList[ENTRIES], fenceAcked[ENTRIES];
-bool unproved[ENTRIES];
-byte told[ENTRIES];
-bool toldNotRun[ENTRIES];
+byte phase[2];
+byte mine[2];               /* claim of the entry's present job */
+byte asked[2];              /* request that waits for a reply */
+byte sent[2];               /* request in flight; 0 once taken or lost */
+byte late[2], lateClaim[2]; /* an older copy of a request, still in flight */
+bool spent;
+byte from[2];               /* the copy of the submission that the entry runs */
+byte starts_to[2];          /* mask of agents with a start in flight */
+byte at[2];                 /* agent of the start in question */
+byte fenceList, fenceAcked;
+bool unproved;
+byte told[2];
+byte losses;                /* replies that were lost */
 
 /* ---- the judge ---- */
 bool idempotent;
 byte starts;
-bool startedFrom[ENTRIES];
+byte startedFrom, notRun;   /* masks of copies */
 
-#define ALL(e) (members[e] | joining[e])
+#define COPY(e)  ((e) + 2 * (mine[e] - 1))
+#define ALL(n)   (members[n] | joining[n])
 
 #ifdef NO_LEASE
 #define CURRENT(a) true
@@ -109,340 +124,367 @@
 #endif
 
 #ifdef PRIMARY_ALONE
-#define ACKED(a) true
-#else
-#ifdef STALE_READ
-#define ACKED(a) (opKind[a] == Look || (opAcked[a] & ALL(opEpoch[a])) == ALL(opEpoch[a]))
+#define LEFT(a) 0
 #else
 #ifdef UNCOUNTED_JOINING
-#define ACKED(a) ((opAcked[a] & members[opEpoch[a]]) == members[opEpoch[a]])
+#define LEFT(a) (members[opEpoch[a]] & ~opAcked[a])
+#else
+#ifdef STALE_READ
+#define LEFT(a) (opKind[a] == Look -> 0 : ALL(opEpoch[a]) & ~opAcked[a])
 #else
-#define ACKED(a) ((opAcked[a] & ALL(opEpoch[a])) == ALL(opEpoch[a]))
+#define LEFT(a) (ALL(opEpoch[a]) & ~opAcked[a])
 #endif
 #endif
 #endif
 
-/* SILENT: a member of the op's view has not answered and will not. */
+/* A member of the op's view that has not answered and will not. */
 #define SILENT(a, b) (HAS(ALL(opEpoch[a]) & ~opAcked[a], b) && (!CURRENT(b) || seen[b] != opEpoch[a]))
 
+#ifdef NO_CLAIM
+#define HELD_BY(a, e, c) (state[a] == Held && holder[a] == e)
+#define MAY_HOLD(a, e, c) (state[a] == None || state[a] == Released)
+#else
+#define HELD_BY(a, e, c) (state[a] == Held && holder[a] == e && claim[a] == c)
+#define MAY_HOLD(a, e, c) (state[a] == None || (state[a] == Released && (holder[a] != e || c > claim[a])) || (state[a] == Held && holder[a] == e && c > claim[a] && !former[a]))
+#endif
+
+inline ask(e, kind) {
+	phase[e] = Asking; asked[e] = kind; sent[e] = kind; at[e] = 0
+}
+
+/* anew holds the key under a new claim; how often is bounded. */
+inline anew(e) {
+	if
+	:: mine[e] < CLAIMS -> mine[e]++; ask(e, Hold)
+	:: else -> phase[e] = Told; asked[e] = 0; sent[e] = 0; at[e] = 0
+	fi
+}
+
 inline tell(e, outcome) {
+	phase[e] = Told; asked[e] = 0; sent[e] = 0; at[e] = 0;
 	if
 	:: outcome == Refused || outcome == Released ->
-		toldNotRun[e] = true;
-		/* notRun implies no start, now or later */
-		assert(!startedFrom[e]);
+		notRun = notRun | BIT(COPY(e));
+		/* notRun implies no start, before and (Agent) after */
+		assert(!HAS(startedFrom, COPY(e)));
 		assert(idempotent || starts == 0)
 	:: else ->
 		told[e] = outcome;
-		/* all answers to one key agree */
-		assert(told[1 - e] == None || told[1 - e] == outcome);
+		/* complete or failed, and all answers to the key agree */
 		assert(outcome == Complete || outcome == Failed);
-		assert(outcome != Complete || starts == 1)
-	fi;
-	phase[e] = Told; asked[e] = 0; at[e] = 0; fenceList[e] = 0; fenceAcked[e] = 0; unproved[e] = false
-}
-
-inline ask(e, kind) {
-	at[e] = 0; fenceList[e] = 0; fenceAcked[e] = 0; unproved[e] = false;
-	phase[e] = Asking; asked[e] = kind; sent[e] = kind
+		assert(told[1 - e] == None || told[1 - e] == outcome);
+		assert(outcome == Failed || starts == 1)
+	fi
 }
 
 /* change applies a request to the primary's own record. */
-inline change(a, kind, e) {
+inline change(a, kind, e, c) {
 	opChanged[a] = true;
 	if
-	:: kind == Hold && (state[a] == None || state[a] == Released) ->
-		holder[a] = e; origin[a] = e;
+	:: kind == Hold && MAY_HOLD(a, e, c) ->
+		state[a] = Held; holder[a] = e; claim[a] = c; former[a] = false; origin[a] = e + 2 * (c - 1);
 #ifndef NO_LOST_AT
-		if :: lostAt[seen[a]] -> state[a] = Failed :: else -> state[a] = Held fi
-#else
-		state[a] = Held
+		if :: lostAt[seen[a]] -> state[a] = Failed :: else fi
 #endif
-	:: kind == Takeover && state[a] == Held && dead[holder[a]] -> holder[a] = e
-	:: (kind == FinishComplete || kind == FinishFailed) && ((state[a] == Held && holder[a] == e) || (state[a] == None && lostAt[seen[a]])) ->
-		holder[a] = e;
-		if :: kind == FinishComplete -> state[a] = Complete :: else -> state[a] = Failed fi
-	:: kind == Release && ((state[a] == Held && holder[a] == e) || state[a] == None) ->
-		if :: idempotent -> state[a] = Released :: else -> state[a] = Refused fi
-#ifndef REFUSE_UNCONFIRMED
-	:: kind == Refuse && (state[a] == None || state[a] == Released) ->
+	:: kind == Takeover && state[a] == Held && holder[a] == 0 && e == 1 && dead ->
+		holder[a] = 1; claim[a] = c; former[a] = true
+	:: kind == FinishComplete && (HELD_BY(a, e, c) || (state[a] == None && lostAt[seen[a]])) ->
+		state[a] = Complete; holder[a] = e; claim[a] = c
+	:: kind == FinishFailed && (HELD_BY(a, e, c) || MAY_HOLD(a, e, c)) ->
+		state[a] = Failed; holder[a] = e; claim[a] = c
+	:: kind == FinishNotRun && (HELD_BY(a, e, c) || MAY_HOLD(a, e, c)) ->
 		if
 #ifndef NO_LOST_AT
-		:: lostAt[seen[a]] -> state[a] = Failed
-		:: else ->
+		:: !HELD_BY(a, e, c) && lostAt[seen[a]] -> state[a] = Failed
+		:: HELD_BY(a, e, c) || !lostAt[seen[a]] ->
 #else
 		:: true ->
 #endif
+			if
 #ifdef UNRECORDED_REFUSAL
-			state[a] = Released
+			:: state[a] = Released
 #else
-			if :: idempotent -> state[a] = Released :: else -> state[a] = Refused fi
-#endif
-		fi
+			:: idempotent -> state[a] = Released
+			:: !idempotent -> state[a] = Refused
 #endif
+			fi
+		fi;
+		holder[a] = e; claim[a] = c
 	:: else -> opChanged[a] = false
 	fi;
 	if :: opChanged[a] -> sequence[a]++ :: else fi;
 	written[a] = seen[a];
-	opState[a] = state[a]; opHolder[a] = holder[a]; opOrigin[a] = origin[a]; opSequence[a] = sequence[a];
-	opKind[a] = kind; opEntry[a] = e; opEpoch[a] = seen[a]; opAcked[a] = BIT(a)
+	opKind[a] = kind; opEntry[a] = e; opClaim[a] = c; opEpoch[a] = seen[a]; opAcked[a] = BIT(a);
+	opState[a] = state[a]; opHolder[a] = holder[a]; opHolderClaim[a] = claim[a];
+	opOrigin[a] = origin[a]; opSequence[a] = sequence[a]; opFormer[a] = former[a]
 }
 
 inline endOp(a) {
-	opKind[a] = 0; opEntry[a] = 0; opEpoch[a] = 0; opAcked[a] = 0; opDeaf[a] = false; opChanged[a] = false;
-	opState[a] = 0; opHolder[a] = 0; opOrigin[a] = 0; opSequence[a] = 0
+	opKind[a] = 0; opEntry[a] = 0; opClaim[a] = 0; opEpoch[a] = 0; opAcked[a] = 0; opDeaf[a] = false; opChanged[a] = false;
+	opState[a] = 0; opHolder[a] = 0; opHolderClaim[a] = 0; opOrigin[a] = 0; opSequence[a] = 0; opFormer[a] = false
 }
 
 /* reply brings the record to the entry that asked. */
-inline reply(e, kind, s, h, o) {
-	asked[e] = 0; sent[e] = 0;
+inline reply(e, kind, s, h, c, o) {
 	if
-	:: s == Complete || s == Failed -> tell(e, s)
-	:: s == Refused -> tell(e, Refused)
-	:: s == Released && (kind == Release || kind == Refuse) -> tell(e, Released)
-	:: (s == None || s == Released) && (kind == FinishComplete || kind == FinishFailed) -> tell(e, Failed)
-	:: (s == None || s == Released) && (kind == Look || kind == Takeover) -> ask(e, Hold)
-	:: s == Held && h != e -> phase[e] = Waiting
-	:: s == Held && h == e && (kind == Hold || kind == Look) -> phase[e] = Holding; from[e] = o
-	:: s == Held && h == e && kind == Takeover ->
-		phase[e] = Fencing; from[e] = o;
+	:: s == Complete || s == Failed || s == Refused -> tell(e, s)
+	:: s == Released && kind == FinishNotRun -> tell(e, Released)
+	:: (s == None || s == Released) && kind != FinishNotRun ->
+		assert(kind != FinishComplete && kind != FinishFailed);
+		anew(e)
+	:: s == Held && (h != e || c != mine[e]) && !(h == e) -> asked[e] = 0; sent[e] = 0; phase[e] = Waiting
+	:: s == Held && h == e && c != mine[e] -> anew(e)
+	:: s == Held && h == e && c == mine[e] && kind == Takeover ->
+		asked[e] = 0; sent[e] = 0; phase[e] = Fencing; from[e] = o;
 		/* every agent that was a member during the lost entry's time */
-		fenceList[e] = BIT(0) | BIT(1) | (joined2 << 2)
+		fenceList = BIT(1) | ((JOIN && joined) << 2)
+	:: s == Held && h == e && c == mine[e] && kind != Takeover ->
+		asked[e] = 0; sent[e] = 0; phase[e] = Holding; from[e] = o
+	fi
+}
+
+/* answer ends an op that every member has. */
+inline answer(a) {
+	if
+	:: LEFT(a) == 0 ->
+		/* a refusal is true of all copies when it is recorded */
+		assert(!(opKind[a] == FinishNotRun && opChanged[a] && opState[a] != Failed && starts > 0));
+		if
+		:: !opDeaf[a] && losses < LOSSES -> losses++
+		:: !opDeaf[a] -> reply(opEntry[a], opKind[a], opState[a], opHolder[a], opHolderClaim[a], opOrigin[a])
+		:: else
+		fi;
+		endOp(a)
+	:: else
 	fi
 }
 
 inline store(b, a) {
 	if
-	:: opEpoch[a] > written[b] || (opEpoch[a] == written[b] && opSequence[a] >= sequence[b]) ->
-		state[b] = opState[a]; holder[b] = opHolder[a]; origin[b] = opOrigin[a];
-		sequence[b] = opSequence[a]; written[b] = opEpoch[a]
+	:: opEpoch[a] > written[b] || (opEpoch[a] == written[b] && opSequence[a] > sequence[b]) ->
+		state[b] = opState[a]; holder[b] = opHolder[a]; claim[b] = opHolderClaim[a]; origin[b] = opOrigin[a];
+		former[b] = opFormer[a]; sequence[b] = opSequence[a]; written[b] = opEpoch[a]
 	:: else
 	fi
 }
 
-proctype Agent(byte a) {
-	byte e, b;
-end:	do
-	/* the primary takes a request: the newest or a late copy */
-	:: atomic { opKind[a] == 0 && CURRENT(a) && primaryOf[seen[a]] == a && (sent[0] || sent[1] || late[0] || late[1]) ->
-		if
-		:: sent[0] -> e = 0; change(a, sent[0], e); sent[0] = 0
-		:: sent[1] -> e = 1; change(a, sent[1], e); sent[1] = 0
-		:: late[0] -> e = 0; change(a, late[0], e); late[0] = 0; opDeaf[a] = true
-		:: late[1] -> e = 1; change(a, late[1], e); late[1] = 0; opDeaf[a] = true
-		fi; e = 0 }
-	/* Replicate to one member; a member with a newer epoch refuses */
-	:: atomic { opKind[a] != 0 && (ALL(opEpoch[a]) & ~opAcked[a]) != 0 ->
-		if
-		:: !HAS(opAcked[a], 0) && HAS(ALL(opEpoch[a]), 0) -> b = 0
-		:: !HAS(opAcked[a], 1) && HAS(ALL(opEpoch[a]), 1) -> b = 1
-		:: !HAS(opAcked[a], 2) && HAS(ALL(opEpoch[a]), 2) -> b = 2
-		fi;
-		if
+/* Replicate from primary a to member b; one with a newer epoch refuses. */
+inline replicate(a, b) {
+	if
 #ifdef NO_EPOCH
-		:: CURRENT(b) && seen[b] >= opEpoch[a] ->
+	:: true ->
 #else
-		:: CURRENT(b) && seen[b] > opEpoch[a] -> endOp(a)
-		:: CURRENT(b) && seen[b] == opEpoch[a] ->
+	:: seen[b] > opEpoch[a] -> endOp(a)
+	:: else ->
 #endif
-			opAcked[a] = opAcked[a] | BIT(b);
+		opAcked[a] = opAcked[a] | BIT(b);
 #ifdef NO_RECONFIRM
-			if :: opChanged[a] -> store(b, a) :: else fi
+		if :: opChanged[a] -> store(b, a) :: else fi;
 #else
-			store(b, a)
+		store(b, a);
 #endif
-		:: else
-		fi; b = 0 }
-	/* every member has it: reply */
-	:: atomic { opKind[a] != 0 && ACKED(a) ->
-		if
-		:: opKind[a] == Refuse && opChanged[a] && opState[a] == Released && idempotent -> assert(starts == 0)
-		:: else
-		fi;
-		if
-		:: !opDeaf[a] && asked[opEntry[a]] == opKind[a] -> e = opEntry[a]; reply(e, opKind[a], opState[a], opHolder[a], opOrigin[a])
-		:: else
-		fi;
-		endOp(a); e = 0 }
+		answer(a)
+	fi
+}
+
+#define TO(a, b) (opKind[a] != 0 && HAS(ALL(opEpoch[a]) & ~opAcked[a], b) && CURRENT(b) && seen[b] >= opEpoch[a])
+#define FREE(a)  (opKind[a] == 0 && CURRENT(a) && primary[seen[a]] == a)
+
+inline begin(a, e) {
+	task[a] = Running; starts++;
+	startedFrom = startedFrom | BIT(from[e]);
+	assert(starts <= 1);
+	assert(!HAS(notRun, from[e]));
+	assert(idempotent || notRun == 0)
+}
+
+proctype Agent(byte a) {
+end:	do
+	/* the primary takes a request: the newest or a late copy */
+	:: atomic { FREE(a) && sent[0] -> change(a, sent[0], 0, mine[0]); sent[0] = 0; answer(a) }
+	:: atomic { FREE(a) && sent[1] -> change(a, sent[1], 1, mine[1]); sent[1] = 0; answer(a) }
+	:: atomic { FREE(a) && late[0] -> change(a, late[0], 0, lateClaim[0]); late[0] = 0; opDeaf[a] = true; answer(a) }
+	:: atomic { FREE(a) && late[1] -> change(a, late[1], 1, lateClaim[1]); late[1] = 0; opDeaf[a] = true; answer(a) }
+	:: atomic { TO(a, 0) -> replicate(a, 0) }
+	:: atomic { TO(a, 1) -> replicate(a, 1) }
+	:: atomic { TO(a, 2) -> replicate(a, 2) }
 	/* a silent member: the write stays in doubt */
 	:: atomic { opKind[a] != 0 && (SILENT(a, 0) || SILENT(a, 1) || SILENT(a, 2)) -> endOp(a) }
-	/* the directory moves up */
-	:: atomic { seen[a] < epoch && !agentDead[a] ->
+	/* the directory moves up; after a loss of all members records are dropped */
+	:: atomic { seen[a] < epoch && !agentDead[a] && (a != 2 || joined) ->
 		seen[a] = epoch;
 		if
-		:: lostAt[epoch] && a == 2 -> state[a] = None; sequence[a] = 0; written[a] = 0
+		:: lostAt[epoch] -> state[a] = None; holder[a] = 0; claim[a] = 0; origin[a] = 0; former[a] = false; sequence[a] = 0; written[a] = 0
 		:: else
 		fi }
-	/* Copy by the joining member from the primary of its epoch */
-	:: atomic { a == 2 && joining[seen[2]] == BIT(2) && seen[2] == epoch && !copied && CURRENT(2) ->
-		b = primaryOf[epoch];
-		if
-		:: CURRENT(b) && seen[b] == epoch ->
-#ifndef NO_COPY
-			if
-			:: written[b] > written[2] || (written[b] == written[2] && sequence[b] > sequence[2]) ->
-				state[2] = state[b]; holder[2] = holder[b]; origin[2] = origin[b];
-				sequence[2] = sequence[b]; written[2] = written[b]
-			:: else
-			fi;
-#endif
-			copied = true
-		:: else
-		fi; b = 0 }
 	/* Start */
-	:: atomic { HAS(starts_to[0], a) || HAS(starts_to[1], a) ->
-		if :: HAS(starts_to[0], a) -> e = 0 :: HAS(starts_to[1], a) -> e = 1 fi;
-		starts_to[e] = starts_to[e] & ~BIT(a);
+	:: atomic { HAS(starts_to[0], a) ->
+		starts_to[0] = starts_to[0] & ~BIT(a);
 		if
-		:: CURRENT(a) && !HAS(fenced[a], e) && HAS(coordinators[a], e) && task[a] == NotStarted ->
-			task[a] = Running; starts++; startedFrom[from[e]] = true;
-			assert(starts <= 1);
-			assert(!toldNotRun[from[e]]);
-			assert(idempotent || !(toldNotRun[0] || toldNotRun[1]))
-		:: else ->
-			/* answered notStarted */
-			if :: phase[e] == Started && at[e] == a && task[a] == NotStarted -> phase[e] = Holding :: else fi
-		fi; e = 0 }
+		:: CURRENT(a) && !fenced[a] && !(a == 2 && stranger) && task[a] == NotStarted -> begin(a, 0)
+		:: else -> if :: phase[0] == Started && at[0] == a && task[a] != Running && task[a] != Done -> phase[0] = Holding; at[0] = 0 :: else fi
+		fi }
+	:: atomic { HAS(starts_to[1], a) ->
+		starts_to[1] = starts_to[1] & ~BIT(a);
+		if
+		:: CURRENT(a) && task[a] == NotStarted -> begin(a, 1)
+		:: else -> if :: phase[1] == Started && at[1] == a && task[a] != Running && task[a] != Done -> phase[1] = Holding; at[1] = 0 :: else fi
+		fi }
 	:: atomic { task[a] == Running && !agentDead[a] -> task[a] = Done }
-	:: atomic { task[a] == Running && !agentDead[a] -> task[a] = TaskFailed }
 	od
 }
 
+
+/* Copy by the joining member from the primary of its epoch. */
+proctype Joiner() {
+end:	do
+	:: atomic { !copied && joining[seen[2]] == BIT(2) && seen[2] == epoch && CURRENT(2) && CURRENT(primary[epoch]) && seen[primary[epoch]] == epoch ->
+#ifndef NO_COPY
+		if
+		:: written[primary[epoch]] > written[2] || (written[primary[epoch]] == written[2] && sequence[primary[epoch]] > sequence[2]) ->
+			state[2] = state[primary[epoch]]; holder[2] = holder[primary[epoch]]; claim[2] = claim[primary[epoch]];
+			origin[2] = origin[primary[epoch]]; former[2] = former[primary[epoch]];
+			sequence[2] = sequence[primary[epoch]]; written[2] = written[primary[epoch]]
+		:: else
+		fi;
+#endif
+		copied = true }
+	od
+}
+
+/* PENDING: a primary is at work on the entry's request. */
+#define AT_WORK(a, e) (opKind[a] != 0 && opEntry[a] == e && !opDeaf[a])
+#define PENDING(e) (AT_WORK(0, e) || AT_WORK(1, e) || AT_WORK(2, e))
+
+inline fence(a) {
+	fenceAcked = fenceAcked | BIT(a);
+	if
+	:: agentDead[a] ->
+#ifdef UNPROVED_START
+		skip
+#else
+		unproved = true
+#endif
+	:: else ->
+#ifndef NO_FENCE
+		fenced[a] = true;
+#endif
+		if :: task[a] == Running || task[a] == Done -> at[1] = a :: else fi
+	fi
+}
+
 proctype Entry(byte e) {
-	byte a;
 end:	do
-	/* a copy of the submission arrives: it is held, or refused from the queue's state */
+	/* a copy of the submission arrives: it is held, or refused */
 	:: atomic { phase[e] == Idle -> ask(e, Hold) }
-	:: atomic { phase[e] == Idle -> ask(e, Refuse) }
-#ifdef REFUSE_UNCONFIRMED
-	:: atomic { phase[e] == Asking && asked[e] == Refuse -> tell(e, Refused) }
+	:: atomic { e == 1 && phase[1] == Idle -> ask(1, FinishNotRun) }
+#ifdef REFUSE_UNASKED
+	:: atomic { e == 1 && phase[1] == Idle -> tell(1, Released) }
 #endif
+	:: atomic { phase[e] == Told && AGAIN && idempotent && HAS(notRun, COPY(e)) && mine[e] < CLAIMS -> mine[e]++; phase[e] = Idle }
 	/* no reply: ask again under the same incarnation; the old copy is lost or late */
-	:: atomic { phase[e] == Asking && asked[e] != 0 && sent[e] == 0 ->
-		if :: opKind[0] && opEntry[0] == e -> opDeaf[0] = true :: else fi;
-		if :: opKind[1] && opEntry[1] == e -> opDeaf[1] = true :: else fi;
-		if :: opKind[2] && opEntry[2] == e -> opDeaf[2] = true :: else fi;
-		sent[e] = asked[e] }
-	:: atomic { phase[e] == Asking && sent[e] != 0 && !spent && LATE -> late[e] = sent[e]; spent = true }
-	/* a hold in doubt is given up: it must be released first */
-	:: atomic { phase[e] == Asking && asked[e] == Hold && sent[e] == 0 ->
-		if :: opKind[0] && opEntry[0] == e -> opDeaf[0] = true :: else fi;
-		if :: opKind[1] && opEntry[1] == e -> opDeaf[1] = true :: else fi;
-		if :: opKind[2] && opEntry[2] == e -> opDeaf[2] = true :: else fi;
-#ifdef NO_RELEASE
+	:: atomic { phase[e] == Asking && sent[e] == 0 && !PENDING(e) -> sent[e] = asked[e] }
+	:: atomic { phase[e] == Asking && sent[e] != 0 && LATE && !spent -> late[e] = sent[e]; lateClaim[e] = mine[e]; spent = true }
+	/* a hold in doubt is given up: the key is settled first */
+	:: atomic { phase[e] == Asking && asked[e] == Hold && sent[e] == 0 && !PENDING(e) ->
+#ifdef UNSETTLED_HOLD
 		tell(e, Released) }
 #else
-		ask(e, Release) }
+		ask(e, FinishFailed) }
 #endif
 	/* another entry holds the key */
 	:: atomic { phase[e] == Waiting -> ask(e, Look) }
-	:: atomic { phase[e] == Waiting && dead[1 - e] -> ask(e, Takeover) }
+	:: atomic { e == 1 && phase[1] == Waiting && dead -> ask(1, Takeover) }
 	/* the key is held: start, or give it back */
-	:: atomic { phase[e] == Holding ->
-		if :: a = 0 :: a = 1 :: joined2 -> a = 2 fi;
-		if
-		:: agentDead[a] || task[a] == Barred || HAS(starts_to[e], a)
-		:: else -> starts_to[e] = starts_to[e] | BIT(a); at[e] = a; phase[e] = Started
-		fi; a = 0 }
-	:: atomic { phase[e] == Holding -> ask(e, Release) }
-	/* the start's answer */
+	:: atomic { phase[e] == Holding && !agentDead[1] && task[1] != Barred && !HAS(starts_to[e], 1) -> starts_to[e] = starts_to[e] | BIT(1); at[e] = 1; phase[e] = Started }
+	:: atomic { phase[e] == Holding && JOIN && joined && task[2] != Barred && !HAS(starts_to[e], 2) -> starts_to[e] = starts_to[e] | BIT(2); at[e] = 2; phase[e] = Started }
+	:: atomic { e == 0 && phase[0] == Holding -> ask(0, FinishNotRun) }
+	/* the start's answer is recorded before it is told */
 	:: atomic { phase[e] == Started && !HAS(starts_to[e], at[e]) && task[at[e]] == Done && !agentDead[at[e]] ->
 #ifdef ANSWER_FIRST
-		told[e] = Complete; assert(told[1 - e] != Failed);
-#endif
+		tell(e, Complete) }
+#else
 		ask(e, FinishComplete) }
-	:: atomic { phase[e] == Started && !HAS(starts_to[e], at[e]) && task[at[e]] == TaskFailed -> ask(e, FinishFailed) }
+#endif
+	/* the agent is lost */
 	:: atomic { phase[e] == Started && agentDead[at[e]] -> ask(e, FinishFailed) }
-	/* contact lost: Ask{bar}, never a new start */
-	:: atomic { phase[e] == Started && !agentDead[at[e]] ->
+	/* contact is lost: Ask with bar, never a new start */
 #ifdef RESTART_ON_LOSS
-		phase[e] = Holding }
-#else
-		if
-#ifdef NO_BAR
-		:: task[at[e]] == NotStarted -> phase[e] = Holding
+	:: atomic { phase[e] == Started && !agentDead[at[e]] -> phase[e] = Holding; at[e] = 0 }
 #else
-		:: task[at[e]] == NotStarted -> task[at[e]] = Barred; phase[e] = Holding
+	:: atomic { phase[e] == Started && !agentDead[at[e]] && task[at[e]] == NotStarted ->
+#ifndef NO_BAR
+		task[at[e]] = Barred;
 #endif
-		:: else
-		fi }
+		phase[e] = Holding; at[e] = 0 }
 #endif
-	/* Fence the lost entry at every agent, and learn what became of the task */
-	:: atomic { phase[e] == Fencing && fenceAcked[e] != fenceList[e] ->
+	/* Fence entry 0 at every agent, and learn what became of the task */
+	:: atomic { e == 1 && phase[1] == Fencing && HAS(fenceList & ~fenceAcked, 1) -> fence(1) }
+	:: atomic { e == 1 && phase[1] == Fencing && (fenceList & ~fenceAcked) == BIT(2) -> fence(2) }
+	:: atomic { e == 1 && phase[1] == Fencing && fenceAcked == fenceList ->
+		fenceAcked = 0; fenceList = 0;
 		if
-		:: !HAS(fenceAcked[e], 0) -> a = 0
-		:: HAS(fenceAcked[e], 0) && !HAS(fenceAcked[e], 1) -> a = 1
-		:: else -> a = 2
+		:: at[1] != 0 -> phase[1] = Started
+		:: at[1] == 0 && unproved -> ask(1, FinishFailed)
+		:: at[1] == 0 && !unproved -> phase[1] = Holding
 		fi;
-		fenceAcked[e] = fenceAcked[e] | BIT(a);
-		if
-		:: agentDead[a] ->
-#ifndef UNPROVED_START
-			unproved[e] = true
+		unproved = false }
+	od
+}
+
+
+/* drop makes the next view, without member m. */
+inline drop(m) {
+	epoch++;
+	lostAt[epoch] = lostAt[epoch - 1];
+#ifdef NO_SHARED_MEMBER
+	members[epoch] = BIT(2); primary[epoch] = 2
 #else
-			skip
-#endif
-		:: else ->
-#ifndef NO_FENCE
-			fenced[a] = fenced[a] | BIT(1 - e);
+	members[epoch] = members[epoch - 1] & ~BIT(m);
+	if :: epoch == 1 -> joining[epoch] = BIT(2) :: else fi;
+	if
+	:: HAS(members[epoch], 0) -> primary[epoch] = 0
+	:: !HAS(members[epoch], 0) && HAS(members[epoch], 1) -> primary[epoch] = 1
+	:: else -> primary[epoch] = 2
+	fi
 #endif
-			if :: task[a] == Running || task[a] == Done || task[a] == TaskFailed -> at[e] = a; phase[e] = Started :: else fi
-		fi; a = 0 }
-	:: atomic { phase[e] == Fencing && fenceAcked[e] == fenceList[e] ->
-		if :: unproved[e] -> ask(e, FinishFailed) :: else -> phase[e] = Holding fi }
-	od
 }
 
 proctype Control() {
-	byte m, p;
 end:	do
 	/* entry 0 is declared dead; it may be frozen and wake later */
-	:: atomic { !dead[0] -> dead[0] = true;
+	:: atomic { LOST && !dead -> dead = true;
 #ifndef ANY_COORDINATOR
-		if :: !joined2 -> coordinators[2] = BIT(1) :: else fi
+		stranger = !joined
+#else
+		stranger = false
 #endif
 		}
 	/* an agent whose lease ran out is declared dead */
-	:: atomic { deaths < DEATHS -> 
-		if :: !agentDead[0] -> m = 0 :: !agentDead[1] -> m = 1 fi;
-		agentDead[m] = true; deaths++; m = 0 }
-	/* agent 2 joins the system */
-	:: atomic { !joined2 -> joined2 = true }
-	/* a silent or dead member is dropped; the new view keeps a complete one */
-	:: atomic { epoch < EPOCHS - 1 && joined2 && (epoch == 0 || epoch == 2) ->
-		if :: HAS(members[epoch], 0) -> m = 0 :: HAS(members[epoch], 1) -> m = 1 :: HAS(members[epoch], 2) -> m = 2 fi;
-		p = members[epoch] & ~BIT(m);
-		epoch++;
-#ifdef NO_SHARED_MEMBER
-		members[epoch] = BIT(2); p = BIT(2);
-#else
-		members[epoch] = p;
-		if :: !HAS(p, 2) && epoch == 1 -> joining[epoch] = BIT(2) :: else fi;
-#endif
-		if :: HAS(p, 0) -> primaryOf[epoch] = 0 :: HAS(p, 1) -> primaryOf[epoch] = 1 :: else -> primaryOf[epoch] = 2 fi;
-		lostAt[epoch] = lostAt[epoch - 1];
-		m = 0; p = 0 }
-	/* Copied: the joining member counts */
-	:: atomic { epoch == 1 && joining[1] == BIT(2) && copied ->
-		epoch = 2;
-		members[2] = members[1] | BIT(2);
-		/* either may lead */
-		if :: primaryOf[2] = primaryOf[1] :: primaryOf[2] = 2 fi }
-	/* all members are lost: restart, after their leases ran out */
-	:: atomic { joined2 && !lost && epoch < EPOCHS - 1 && agentDead[0] && agentDead[1] && !HAS(members[epoch], 2) ->
-		lost = true; epoch++;
-		members[epoch] = BIT(2); primaryOf[epoch] = 2; lostAt[epoch] = true }
+	:: atomic { deaths < DEATHS && !agentDead[0] -> agentDead[0] = true; deaths++ }
+	:: atomic { deaths < DEATHS && !agentDead[1] -> agentDead[1] = true; deaths++ }
+	:: atomic { JOIN && !joined -> joined = true }
+	/* a silent or dead member is dropped; a complete one stays */
+	:: atomic { joined && epoch < EPOCHS - 1 && epoch != 1 && HAS(members[epoch], 0) -> drop(0) }
+	:: atomic { joined && epoch < EPOCHS - 1 && epoch != 1 && HAS(members[epoch], 1) -> drop(1) }
+	:: atomic { joined && epoch < EPOCHS - 1 && epoch == 2 && HAS(members[epoch], 2) && !lostAt[epoch] -> drop(2) }
+	/* Copied: the joining member is complete, and may lead */
+	:: atomic { epoch == 1 && epoch < EPOCHS - 1 && joining[1] == BIT(2) && copied ->
+		epoch = 2; members[2] = members[1] | BIT(2);
+		if :: primary[2] = primary[1] :: primary[2] = 2 fi }
+	/* all members are lost: restart after the end of their leases */
+	:: atomic { joined && epoch < EPOCHS - 1 && !lostAt[epoch] && (members[epoch] & ~((agentDead[0] << 0) | (agentDead[1] << 1))) == 0 ->
+		epoch++; members[epoch] = BIT(2); primary[epoch] = 2; lostAt[epoch] = true }
 	od
 }
 
 init {
 	atomic {
+		joined = !JOIN;
 		if :: idempotent = true :: idempotent = false fi;
 		members[0] = BIT(0) | BIT(1);
-		coordinators[0] = BIT(0) | BIT(1);
-		coordinators[1] = BIT(0) | BIT(1);
-		coordinators[2] = BIT(0) | BIT(1);
-		run Agent(0); run Agent(1); run Agent(2);
+		mine[0] = 1; mine[1] = 1;
+		run Agent(0); run Agent(1); run Agent(2); run Joiner();
 		run Entry(0); run Entry(1);
 		run Control()
 	}
