--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -105,7 +105,7 @@
 
 // lacks tells whether a task could start now if there were a slot.
 func (k *desk) lacks() bool {
-	return k.pool.usable() == 0 && k.queue.startable()
+	return k.pool.usable() == 0 && k.queue.top() != nil
 }
 
 // fasterSlots are the busy slots at workers that are much faster than the best
@@ -115,21 +115,29 @@
 	busy   []placement.Busy
 }
 
-// waits tells whether t should rather wait for a faster worker than h's.
-func (f *fasterSlots) waits(k *desk, t *task, h *held, ahead int, now time.Time) bool {
+// waiting returns how many of a job's tasks, from the first, should rather wait
+// for a faster worker than h's.
+func (f *fasterSlots) waiting(k *desk, r *run, h *held, ahead int, now time.Time) int {
 	factor := h.server.speed.Value()
-	if time.Duration(float64(t.expected)*factor) < shortRun {
-		return false
-	}
-	if f.server != h.server {
-		f.server = h.server
-		f.busy = k.faster(factor, now)
+	for n := range r.ready {
+		t := r.ready[len(r.ready)-1-n]
+		if time.Duration(float64(t.expected)*factor) < shortRun {
+			return n
+		}
+		if f.server != h.server {
+			f.server = h.server
+			f.busy = k.faster(t.expected, factor, now)
+		}
+		if !placement.Waits(t.expected, factor, f.busy, ahead+n) {
+			return n
+		}
 	}
-	return placement.Waits(t.expected, factor, f.busy, ahead)
+	return len(r.ready)
 }
 
-// faster returns the busy slots at workers that are much faster than factor.
-func (k *desk) faster(factor float64, now time.Time) []placement.Busy {
+// faster returns the busy slots at workers that are much faster than factor,
+// first those on which a task of the given run time ends first.
+func (k *desk) faster(run time.Duration, factor float64, now time.Time) []placement.Busy {
 	var busy []placement.Busy
 	for t := range k.running {
 		f := t.server.speed.Value()
@@ -137,7 +145,7 @@
 			busy = append(busy, placement.Busy{FreeIn: t.remaining(now), Factor: f})
 		}
 	}
-	slices.SortFunc(busy, func(a, b placement.Busy) int { return int(a.FreeIn - b.FreeIn) })
+	slices.SortFunc(busy, func(a, b placement.Busy) int { return int(a.End(run) - b.End(run)) })
 	return busy
 }
 
--- a/lib/entry/dispatcher.go
+++ b/lib/entry/dispatcher.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// maxLook bounds the tasks that are looked at for a slow worker.
+	// maxLook bounds the jobs that are looked at for a slow worker.
 	maxLook = 16
 	// recheckTime is when tasks that wait for a fast worker are looked at anew.
 	recheckTime = 5 * time.Millisecond
@@ -201,32 +201,36 @@
 	t.account = t.account.WithFloor(floor)
 }
 
-// dispatch starts waiting tasks on idle tokens.
+// dispatch starts waiting tasks on idle tokens. Jobs whose tasks rather wait
+// for a faster worker are passed over.
 func (d *dispatcher) dispatch(k *desk) {
 	now := time.Now()
-	var waiting []*task
+	var passed []*run
 	var look fasterSlots
-	for k.pool.idle > 0 && len(waiting) < maxLook {
-		t := k.queue.next()
-		if t == nil {
+	ahead := 0
+	for k.pool.idle > 0 && len(passed) < maxLook {
+		r := k.queue.top()
+		if r == nil {
 			break
 		}
-		h := k.pool.take(now, t.run.urgency)
+		h := k.pool.take(now, r.urgency)
 		if h == nil {
-			k.queue.push(t)
 			break
 		}
-		if look.waits(k, t, h, len(waiting), now) {
-			k.pool.put(h)
-			waiting = append(waiting, t)
+		n := look.waiting(k, r, h, ahead, now)
+		if n < len(r.ready) {
+			d.start(k.queue.take(r, n), h, now)
 			continue
 		}
-		d.start(t, h, now)
+		k.pool.put(h)
+		k.queue.leave(r)
+		passed = append(passed, r)
+		ahead += n
 	}
-	for _, t := range slices.Backward(waiting) {
-		k.queue.push(t)
+	for _, r := range passed {
+		k.queue.enter(r)
 	}
-	if len(waiting) > 0 {
+	if len(passed) > 0 {
 		d.lookAgain(k)
 	}
 	if k.lacks() {
--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"skylarklane.example/lib/quota"
@@ -37,27 +38,21 @@
 	return q
 }
 
-// next removes the task whose turn it is; nil where none may start.
-func (q *queue) next() *task {
+// top returns the job whose turn it is; nil where none may start a task.
+func (q *queue) top() *run {
 	for n := levels - 1; n >= 0; n-- {
 		if jobs := poorest(q.levels[n]); jobs != nil {
-			r := (*jobs)[0]
-			t := r.ready[len(r.ready)-1]
-			q.drop(r, len(r.ready)-1)
-			return t
+			return (*jobs)[0]
 		}
 	}
 	return nil
 }
 
-// startable tells whether a task may start.
-func (q *queue) startable() bool {
-	for n := range q.levels {
-		if poorest(q.levels[n]) != nil {
-			return true
-		}
-	}
-	return false
+// take removes the waiting task at place n of its job's line.
+func (q *queue) take(r *run, n int) *task {
+	t := r.ready[len(r.ready)-1-n]
+	q.drop(r, len(r.ready)-1-n)
+	return t
 }
 
 // poorest returns the jobs of the team that has used least of its share among
@@ -94,9 +89,8 @@
 func (q *queue) drop(r *run, n int) {
 	q.tasks--
 	q.work[r.urgency] -= r.ready[n].expected
-	r.ready[n] = nil
-	r.ready = r.ready[:n]
-	if n == 0 {
+	r.ready = slices.Delete(r.ready, n, n+1)
+	if len(r.ready) == 0 {
 		q.leave(r)
 	}
 }
--- a/lib/placement/choose.go
+++ b/lib/placement/choose.go
@@ -10,6 +10,11 @@
 	Factor float64
 }
 
+// End is the time until a task that waits for the slot is expected to end.
+func (b Busy) End(run time.Duration) time.Duration {
+	return b.FreeIn + scale(run, b.Factor)
+}
+
 // overrunPart is the part of its expected run time that a task is taken to
 // need still, once it has used nearly all of it.
 const overrunPart = 4
@@ -20,14 +25,15 @@
 }
 
 // Waits tells whether a task is expected to finish sooner on a busy slot than
-// on a free one of the given factor. Busy slots are in the order of FreeIn; as
-// many of them as tasks wait ahead are taken already.
+// on a free one of the given factor. The tasks ahead take the busy slots in
+// their order, one after the other and round after round.
 func Waits(run time.Duration, factor float64, busy []Busy, ahead int) bool {
-	if ahead >= len(busy) {
+	if len(busy) == 0 {
 		return false
 	}
-	next := busy[ahead]
-	return next.FreeIn+scale(run, next.Factor) < scale(run, factor)
+	next := busy[ahead%len(busy)]
+	rounds := time.Duration(1 + ahead/len(busy))
+	return next.FreeIn+rounds*scale(run, next.Factor) < scale(run, factor)
 }
 
 func scale(run time.Duration, factor float64) time.Duration {
