--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -32,7 +32,7 @@
 	kinds   map[string]*kindState
 
 	borrowers []*borrower
-	borrowing map[incarnation]bool
+	borrowing map[loanID]bool
 	recheck   bool
 	// emptySince is since when no worker has a slot; zero while one has.
 	emptySince time.Time
@@ -45,7 +45,7 @@
 		pool:       &pool{},
 		running:    map[*task]struct{}{},
 		kinds:      map[string]*kindState{},
-		borrowing:  map[incarnation]bool{},
+		borrowing:  map[loanID]bool{},
 		emptySince: since,
 	}
 }
@@ -100,12 +100,13 @@
 
 // demand is what the desk has and needs.
 func (k *desk) demand() placement.Demand {
-	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.tasks}
+	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.waiting}
 }
 
-// lacks tells whether a task could start now if there were a slot.
-func (k *desk) lacks() bool {
-	return k.pool.usable() == 0 && k.queue.top() != nil
+// lacks tells whether tasks of an urgency wait because no slot is idle, not
+// because of a team's limit.
+func (k *desk) lacks(urgency wire.Urgency) bool {
+	return k.pool.usable() == 0 && poorest(k.queue.levels[urgency]) != nil
 }
 
 // fasterSlots are the busy slots at workers that are much faster than the best
--- a/lib/entry/dispatcher.go
+++ b/lib/entry/dispatcher.go
@@ -233,9 +233,7 @@
 	if len(passed) > 0 {
 		d.lookAgain(k)
 	}
-	if k.lacks() {
-		d.borrow(k)
-	}
+	d.borrow(k)
 }
 
 // lookAgain has a desk looked at once more, in case no task ends meanwhile.
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"skylarklane.example/lib/placement"
@@ -10,12 +11,12 @@
 
 const (
 	// borrowWait is how long an entry without a surplus keeps a request.
-	borrowWait = 2 * time.Second
+	borrowWait = time.Second
 	// borrowTimeout bounds one call.
 	borrowTimeout = borrowWait + time.Second
 	// gatherTime is how long a lender gathers tokens for one reply.
 	gatherTime = 2 * time.Millisecond
-	// borrowDelay is the time between requests without success.
+	// borrowDelay is the time until the next request after one without reply.
 	borrowDelay = 100 * time.Millisecond
 	// maxBorrow bounds the tokens of one reply.
 	maxBorrow = 512
@@ -26,13 +27,15 @@
 	request *wire.BorrowRequest
 	tokens  []*wire.Token
 	full    chan struct{}
+	once    sync.Once
 }
 
-func (b *borrower) demand() placement.Demand {
+func (b *borrower) ask() placement.Ask {
 	given := len(b.tokens)
-	return placement.Demand{
-		Held:   int(b.request.GetHeld()) + given,
-		Queued: max(0, int(b.request.GetQueued())-given),
+	return placement.Ask{
+		Held:    int(b.request.GetHeld()) + given,
+		Urgency: min(b.request.GetUrgency(), wire.Urgency_URGENCY_URGENT),
+		Queued:  min(int(b.request.GetWant()), maxBorrow) - given,
 	}
 }
 
@@ -73,14 +76,24 @@
 	}
 	now := time.Now()
 	for _, b := range k.borrowers {
-		n := min(placement.Lend(k.demand(), b.demand()), int(b.request.GetWant())-len(b.tokens), maxBorrow)
+		n := placement.Lend(k.demand(), b.ask())
 		if n <= 0 {
 			continue
 		}
-		if len(b.tokens) == 0 {
-			time.AfterFunc(gatherTime, func() { close(b.full) })
-		}
+		first := len(b.tokens) == 0
 		d.give(k, b, n, now)
+		b.reply(first)
+	}
+}
+
+// reply sends the tokens once they are all that was asked for, or some time
+// after the first one.
+func (b *borrower) reply(first bool) {
+	switch {
+	case b.ask().Queued <= 0:
+		b.once.Do(func() { close(b.full) })
+	case first:
+		time.AfterFunc(gatherTime, func() { b.once.Do(func() { close(b.full) }) })
 	}
 }
 
@@ -111,15 +124,28 @@
 	}
 }
 
-// borrow asks the other entries for tokens, each with one call at a time.
+// loanID names the calls to one entry for one urgency.
+type loanID struct {
+	peer    incarnation
+	urgency wire.Urgency
+}
+
+// borrow asks the other entries for tokens, with one call at a time to each
+// for an urgency that lacks some.
 func (d *dispatcher) borrow(k *desk) {
-	for id, p := range d.fleet.peers {
-		if k.borrowing[id] {
+	for urgency := range wire.Urgency(levels) {
+		if !k.lacks(urgency) {
 			continue
 		}
-		k.borrowing[id] = true
-		l := &loan{d: d, k: k, id: id, peer: p}
-		go l.loop()
+		for peer, p := range d.fleet.peers {
+			id := loanID{peer: peer, urgency: urgency}
+			if k.borrowing[id] {
+				continue
+			}
+			k.borrowing[id] = true
+			l := &loan{d: d, k: k, id: id, peer: p}
+			go l.loop()
+		}
 	}
 }
 
@@ -127,7 +153,7 @@
 type loan struct {
 	d    *dispatcher
 	k    *desk
-	id   incarnation
+	id   loanID
 	peer *peer
 }
 
@@ -148,27 +174,26 @@
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
 	l.d.follow()
-	demand := l.k.demand()
-	if !l.k.lacks() || l.d.fleet.peers[l.id] != l.peer {
+	if !l.k.lacks(l.id.urgency) || l.d.fleet.peers[l.id.peer] != l.peer {
 		delete(l.k.borrowing, l.id)
 		return nil
 	}
 	return &wire.BorrowRequest{
 		Entry:      l.d.self,
 		Service:    l.k.service,
-		Want:       uint32(demand.Queued - demand.Idle),
-		Held:       uint32(demand.Held),
-		Queued:     uint32(demand.Queued),
+		Urgency:    l.id.urgency,
+		Want:       uint32(l.k.queue.waiting[l.id.urgency]),
+		Held:       uint32(l.k.pool.held),
 		WaitMillis: borrowWait.Milliseconds(),
 	}
 }
 
-// call makes one request. It returns false where it brought nothing.
+// call makes one request. It returns false where there was no reply.
 func (l *loan) call(request *wire.BorrowRequest) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
 	reply, err := l.peer.client.Borrow(ctx, request)
-	if err != nil || len(reply.GetTokens()) == 0 {
+	if err != nil {
 		return false
 	}
 	l.d.mu.Lock()
--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -5,12 +5,13 @@
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/quota"
 	"skylarklane.example/lib/wire"
 )
 
 // levels is the number of urgencies.
-const levels = int(wire.Urgency_URGENCY_URGENT) + 1
+const levels = placement.Urgencies
 
 // queue holds the tasks of one service that wait for a slot: the most urgent
 // first, then the team that has used least of its share, then the earliest
@@ -18,8 +19,10 @@
 type queue struct {
 	levels [levels]map[*team]*jobHeap
 	// work is the expected run time of all waiting tasks by urgency.
-	work  [levels]time.Duration
-	tasks int
+	work [levels]time.Duration
+	// waiting is the number of waiting tasks by urgency.
+	waiting [levels]int
+	tasks   int
 }
 
 // team is what the entry knows of one team.
@@ -79,6 +82,7 @@
 	r := t.run
 	r.ready = append(r.ready, t)
 	q.tasks++
+	q.waiting[r.urgency]++
 	q.work[r.urgency] += t.expected
 	if r.place < 0 {
 		q.enter(r)
@@ -88,6 +92,7 @@
 // drop takes one waiting task out of its job.
 func (q *queue) drop(r *run, n int) {
 	q.tasks--
+	q.waiting[r.urgency]--
 	q.work[r.urgency] -= r.ready[n].expected
 	r.ready = slices.Delete(r.ready, n, n+1)
 	if len(r.ready) == 0 {
--- a/lib/placement/placement_test.go
+++ b/lib/placement/placement_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
 )
 
 const ms = time.Millisecond
@@ -71,23 +73,28 @@
 }
 
 func TestLend(t *testing.T) {
+	urgent, normal := wire.Urgency_URGENCY_URGENT, wire.Urgency_URGENCY_NORMAL
+	waiting := func(batch, normal, urgent int) [Urgencies]int { return [Urgencies]int{0, batch, normal, urgent} }
 	cases := []struct {
-		name       string
-		own, other Demand
-		want       int
+		name string
+		own  Demand
+		ask  Ask
+		want int
 	}{
-		{"idle lender", Demand{Held: 44, Idle: 44}, Demand{Held: 44, Queued: 10}, 10},
-		{"all of a small surplus", Demand{Held: 44, Idle: 3}, Demand{Held: 44, Queued: 10}, 3},
-		{"nothing idle", Demand{Held: 44}, Demand{Held: 44, Queued: 10}, 0},
-		{"own queue needs them", Demand{Held: 10, Idle: 2, Queued: 2}, Demand{Held: 10, Queued: 1}, 0},
-		{"both short, the other more", Demand{Held: 80, Idle: 20, Queued: 20}, Demand{Held: 8, Queued: 300}, 20},
-		{"both short, alike", Demand{Held: 44, Idle: 1, Queued: 50}, Demand{Held: 44, Queued: 50}, 0},
-		{"not worth a message", Demand{Held: 46, Idle: 2, Queued: 50}, Demand{Held: 42, Queued: 54}, 0},
-		{"the other has enough", Demand{Held: 44, Idle: 44}, Demand{Held: 44, Idle: 4, Queued: 4}, 0},
+		{"idle lender", Demand{Held: 44, Idle: 44}, Ask{44, urgent, 10}, 10},
+		{"small surplus", Demand{Held: 44, Idle: 3}, Ask{44, urgent, 10}, 3},
+		{"nothing idle", Demand{Held: 44}, Ask{44, urgent, 10}, 0},
+		{"less urgent work gives way", Demand{Held: 44, Idle: 2, Queued: waiting(9, 400, 0)}, Ask{44, urgent, 10}, 2},
+		{"more urgent work goes first", Demand{Held: 44, Idle: 2, Queued: waiting(0, 0, 2)}, Ask{44, normal, 400}, 0},
+		{"the rest of the tokens", Demand{Held: 44, Idle: 5, Queued: waiting(0, 0, 2)}, Ask{44, normal, 400}, 3},
+		{"enough for both", Demand{Held: 44, Idle: 20, Queued: waiting(0, 0, 10)}, Ask{44, urgent, 10}, 10},
+		{"both short, the other more", Demand{Held: 80, Idle: 20, Queued: waiting(0, 0, 20)}, Ask{8, urgent, 300}, 20},
+		{"both short, alike", Demand{Held: 44, Idle: 1, Queued: waiting(0, 0, 50)}, Ask{44, urgent, 50}, 0},
+		{"not worth a message", Demand{Held: 46, Idle: 2, Queued: waiting(0, 0, 50)}, Ask{42, urgent, 54}, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			is.New(t).Equal(Lend(c.own, c.other), c.want)
+			is.New(t).Equal(Lend(c.own, c.ask), c.want)
 		})
 	}
 }
