--- a/GNUmakefile
+++ b/GNUmakefile
@@ -3,9 +3,10 @@
 modules := skylarklane.example/skylarklane skylarklane.example/agent skylarklane.example/control \
 	skylarklane.example/entry skylarklane.example/lib skylarklane.example/load skylarklane.example/test
 packages := $(addsuffix /...,$(modules))
+results := docs/results
 staticcheck := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: help build test format vet lint race spec process generate bench soak clean
+.PHONY: help build test format vet lint race spec process generate bench measure pages soak clean
 
 # help: list the targets.
 help:
@@ -42,6 +43,23 @@
 process: build
 	go test -count=1 -timeout 8m skylarklane.example/test/...
 
+# bench: measure every target and say which are missed (about five minutes).
+bench: build
+	bin/load bench
+
+# measure: run every experiment and measurement anew (about half an hour).
+measure: build
+	bin/load run --out $(results) $(addprefix experiments/,$(addsuffix .yaml,sizing batch entries faults))
+	bin/load slopes --out $(results)
+	bin/load rollout --out $(results)
+	bin/load recovery --out $(results)
+	bin/load bench --out $(results)
+	$(MAKE) pages
+
+# pages: render the tables of the pages anew from the results.
+pages: build
+	bin/load pages --results $(results) docs/MEASUREMENTS.md docs/CAPACITY.md
+
 # generate: make lib/wire anew from the schemas.
 generate:
 	proto/generate.sh
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -196,6 +196,10 @@
 	if err != nil {
 		return false
 	}
+	if len(reply.GetTokens()) == 0 {
+		l.d.scope.Counter("borrowings_in_vain").Inc(1)
+		return true
+	}
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
 	l.d.accept(reply.GetTokens())
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 
@@ -62,14 +63,18 @@
 		Rack:        cfg.GetRack(),
 	}
 	follower := membership.New(client, cfg.GetControl(), member, log)
-	records := ledger.NewClient(member.GetIncarnation(), follower, client)
+	records := ledger.NewClient(member.GetIncarnation(), follower, client, metrics.Scope())
 	e := New(follower, records, client, limitsOf(cfg), policy, log, metrics)
 	server := process.New(security.Listener(listener), security.Guard(process.WithDrain(e.Handler(), drain)), log)
 	ready(server.Address(), "")
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go e.Run(running)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-follower.Dead():
+		return errors.Join(membership.ErrDead(), e.shutdown(running, server))
+	}
 	return e.shutdown(running, server)
 }
 
