Admission goes by learned run times of the queue too; trials are rarer

Cause: with declared times ten times too long, five jobs of 599 were refused as late: the queue ahead was still counted at what its kinds declare. With a worker that fails everything, ten of 627 jobs failed, most of them on trials. Change: waiting tasks count by the learned time of their kind, and not at all before it is learned; the first trial comes after 5 s instead of 1 s.

--- a/lib/entry/admission.go
+++ b/lib/entry/admission.go
@@ -137,7 +137,7 @@
 // by learned run times only, never by declared ones.
 func (d *dispatcher) late(k *desk, spec *wire.JobSpec, kind *wire.Kind, now time.Time) *refusal {
 	known := k.kinds[spec.GetKind()]
-	if known == nil || known.times.N < learnedRuns {
+	if known == nil || !known.learned() {
 		return nil
 	}
 	total, longest := time.Duration(0), time.Duration(0)
--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -56,6 +56,21 @@
 	times placement.Average
 	// sizes are the times by the payload's size.
 	sizes map[int]placement.Average
+	// waiting tasks by urgency, which a change of configuration may move.
+	waiting [levels]int
+}
+
+// learned tells whether enough runs were seen to go by.
+func (s *kindState) learned() bool { return s.times.N >= learnedRuns }
+
+// ahead returns the expected run time of the waiting tasks that are at least
+// as urgent.
+func (s *kindState) ahead(urgency wire.Urgency) time.Duration {
+	n := 0
+	for _, waiting := range s.waiting[urgency:] {
+		n += waiting
+	}
+	return time.Duration(n) * s.times.Duration()
 }
 
 // kind returns what is known of a kind, at first what it declares.
@@ -150,11 +165,19 @@
 	return busy
 }
 
-// load is the work before a new job of an urgency.
+// load is the work before a new job of an urgency, as far as the kinds of its
+// tasks are learned.
 func (k *desk) load(urgency wire.Urgency, slots int, now time.Time) placement.Load {
-	load := placement.Load{Slots: slots, Queued: k.queue.ahead(urgency)}
+	load := placement.Load{Slots: slots}
+	for _, kind := range k.kinds {
+		if kind.learned() {
+			load.Queued += kind.ahead(urgency)
+		}
+	}
 	for t := range k.running {
-		load.Running += t.remaining(now)
+		if t.run.kind.learned() {
+			load.Running += t.remaining(now)
+		}
 	}
 	return load
 }
--- a/lib/entry/job.go
+++ b/lib/entry/job.go
@@ -70,9 +70,10 @@
 	startedAt time.Time
 }
 
-// expectedAt returns the expected run time at the server that runs the task.
+// expectedAt returns the expected run time at the server that runs the task, by
+// what is known now.
 func (t *task) expectedAt() time.Duration {
-	return time.Duration(float64(t.expected) * t.server.speed.Value())
+	return time.Duration(float64(t.run.kind.expected(t.class)) * t.server.speed.Value())
 }
 
 // remaining returns how long the task is expected to run on.
--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -3,11 +3,9 @@
 import (
 	"container/heap"
 	"slices"
-	"time"
 
 	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/quota"
-	"skylarklane.example/lib/wire"
 )
 
 // levels is the number of urgencies.
@@ -18,8 +16,6 @@
 // deadline, then the longest task of the job.
 type queue struct {
 	levels [levels]map[*team]*jobHeap
-	// work is the expected run time of all waiting tasks by urgency.
-	work [levels]time.Duration
 	// waiting is the number of waiting tasks by urgency.
 	waiting [levels]int
 	tasks   int
@@ -83,7 +79,7 @@
 	r.ready = append(r.ready, t)
 	q.tasks++
 	q.waiting[r.urgency]++
-	q.work[r.urgency] += t.expected
+	r.kind.waiting[r.urgency]++
 	if r.place < 0 {
 		q.enter(r)
 	}
@@ -93,7 +89,7 @@
 func (q *queue) drop(r *run, n int) {
 	q.tasks--
 	q.waiting[r.urgency]--
-	q.work[r.urgency] -= r.ready[n].expected
+	r.kind.waiting[r.urgency]--
 	r.ready = slices.Delete(r.ready, n, n+1)
 	if len(r.ready) == 0 {
 		q.leave(r)
@@ -126,16 +122,6 @@
 	}
 }
 
-// ahead returns the expected run time of the tasks that go before a job of an
-// urgency.
-func (q *queue) ahead(urgency wire.Urgency) time.Duration {
-	sum := time.Duration(0)
-	for n := int(urgency); n < levels; n++ {
-		sum += q.work[n]
-	}
-	return sum
-}
-
 // jobHeap orders the waiting jobs of a team by deadline.
 type jobHeap []*run
 
--- a/lib/placement/health.go
+++ b/lib/placement/health.go
@@ -6,9 +6,9 @@
 	// ejectAfter failed jobs in a row end the work for a backend server.
 	ejectAfter = 2
 	// firstTrial is the time until the first trial, doubled with each failure.
-	firstTrial = time.Second
+	firstTrial = 5 * time.Second
 	// lastTrial bounds the time between trials.
-	lastTrial = time.Minute
+	lastTrial = 2 * time.Minute
 )
 
 // Health is how a backend server has done lately. The zero value is healthy.
