--- a/lib/agent/start.go
+++ b/lib/agent/start.go
@@ -3,27 +3,26 @@
 import (
 	"context"
 
+	"skylarklane.example/lib/task"
 	"skylarklane.example/lib/wire"
 )
 
-// Reasons for which a task is not started.
+// Reasons for which a task is not started, besides those of package task.
 const (
-	reasonLeaving          = "agentLeaving"
-	reasonOtherIncarnation = "otherIncarnation"
-	reasonNoLease          = "noLease"
-	reasonNotMember        = "coordinatorNotMember"
-	reasonVoidToken        = "voidToken"
+	reasonLeaving   = "agentLeaving"
+	reasonVoidToken = "voidToken"
 )
 
 // Start implements wire.Agent. The task goes on where the caller is lost.
 func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
+	if !same(q.GetAgent(), a.follower.Member().GetIncarnation()) {
+		// The token numbers of another life mean nothing here.
+		return notStarted(task.ReasonOtherIncarnation), nil
+	}
 	if !a.gate.Enter() {
 		return a.refuse(q, reasonLeaving), nil
 	}
 	defer a.gate.Leave()
-	if reason := a.barrier(q); reason != "" {
-		return a.refuse(q, reason), nil
-	}
 	server, token, ok := a.slot(ctx, q)
 	if !ok {
 		return a.refuse(q, reasonVoidToken), nil
@@ -36,22 +35,6 @@
 	return reply, nil
 }
 
-// barrier returns why a start may not be taken, empty where it may. A start
-// must mean this incarnation, which must hold its lease, and must come from an
-// incarnation that the directory lists as a member.
-func (a *Agent) barrier(q *wire.StartRequest) string {
-	switch {
-	case !same(q.GetAgent(), a.follower.Member().GetIncarnation()):
-		return reasonOtherIncarnation
-	case !a.follower.Current():
-		return reasonNoLease
-	case !isMember(a.follower.Directory(), q.GetCoordinator()):
-		return reasonNotMember
-	default:
-		return ""
-	}
-}
-
 // slot takes the slot for a start: that of its token, or the next free one
 // where it has none. It returns the backend server and the token's number.
 func (a *Agent) slot(ctx context.Context, q *wire.StartRequest) (string, uint64, bool) {
@@ -78,12 +61,10 @@
 // before is told of instead.
 func (a *Agent) refuse(q *wire.StartRequest, reason string) *wire.StartReply {
 	a.count("starts_refused", reason)
-	if same(q.GetAgent(), a.follower.Member().GetIncarnation()) {
-		if known := a.known(q); known != nil {
-			return known
-		}
+	if known := a.known(q); known != nil {
+		return known
 	}
-	return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: reason}
+	return notStarted(reason)
 }
 
 // known returns the state of a task that has started here before.
@@ -101,12 +82,6 @@
 	a.metrics.Scope().Tagged(map[string]string{"reason": reason}).Counter(counter).Inc(1)
 }
 
-// isMember tells whether an incarnation is among the members.
-func isMember(directory *wire.Directory, who *wire.Incarnation) bool {
-	for _, member := range directory.GetMembers() {
-		if same(member.GetIncarnation(), who) {
-			return true
-		}
-	}
-	return false
+func notStarted(reason string) *wire.StartReply {
+	return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: reason}
 }
