A leader that hears of no member declares none dead

Cause: members' way to the leading control host was cut while it still reached its quorum, so it declared every member dead, and all keys with them; an entry that was declared dead then waited 60 s for jobs that it cannot record. Change: a leader that heard of nobody for a lease declares nobody, and the first renewal after that gives all members a full lease; a dead entry ends within 2 s. Ruled out: giving up leadership, as the same host can be elected again.

--- a/lib/control/leases.go
+++ b/lib/control/leases.go
@@ -32,6 +32,8 @@
 	length time.Duration
 	held   map[string]*lease
 	silent map[silence]time.Time
+	// heardAt is when any member was last heard of.
+	heardAt time.Time
 }
 
 func newLeases(length time.Duration) *leases {
@@ -42,11 +44,26 @@
 func (l *leases) grantAll(members []*wire.Member, now time.Time) {
 	clear(l.held)
 	clear(l.silent)
+	l.heardAt = now
 	for _, member := range members {
 		l.renew(member.GetIncarnation(), 0, now)
 	}
 }
 
+// hear takes a member's renewal in. The first after nobody was heard of for a
+// lease shows that this host was cut off, not that the others are dead: all of
+// them get a full lease.
+func (l *leases) hear(members []*wire.Member, who *wire.Incarnation, version uint64, now time.Time) {
+	if l.deaf(now) {
+		l.grantAll(members, now)
+	}
+	l.heardAt = now
+	l.renew(who, version, now)
+}
+
+// deaf tells whether no member was heard of for a lease.
+func (l *leases) deaf(now time.Time) bool { return now.Sub(l.heardAt) >= l.length }
+
 // renew extends a member's lease, counted from now.
 func (l *leases) renew(who *wire.Incarnation, version uint64, now time.Time) {
 	l.held[who.GetId()] = &lease{incarnation: who, until: now.Add(l.length), version: version}
@@ -61,8 +78,12 @@
 	return held.until.Sub(now), held.version
 }
 
-// expired lists the members whose lease has run out, by id.
+// expired lists the members whose lease has run out, by id. It lists none
+// while nobody at all is heard of.
 func (l *leases) expired(members []*wire.Member, now time.Time) []*wire.Incarnation {
+	if l.deaf(now) {
+		return nil
+	}
 	var dead []*wire.Incarnation
 	for _, member := range members {
 		if left, _ := l.left(member.GetIncarnation(), now); left <= 0 {
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -70,7 +70,7 @@
 	if !unchanged(s.machine.member(member.GetIncarnation()), member) {
 		return nil
 	}
-	s.leases.renew(member.GetIncarnation(), q.GetDirectoryVersion(), now)
+	s.leases.hear(s.machine.state.GetMembers(), member.GetIncarnation(), q.GetDirectoryVersion(), now)
 	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds()}
 	if s.machine.state.GetVersion() == q.GetDirectoryVersion() {
 		return reply
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"time"
 
 	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/membership"
@@ -22,6 +23,10 @@
 	defaultMaxQueued    = 20000
 )
 
+// deadTimeout bounds the shutdown of an entry that was declared dead: others
+// take its jobs over, and its callers are to ask them.
+const deadTimeout = 2 * time.Second
+
 // Main runs an entry from its command line and returns the exit code.
 func Main(args []string, w io.Writer) int {
 	return process.Daemon("entry", "Runs one entry host.", args, w, serve)
@@ -73,14 +78,14 @@
 	select {
 	case <-ctx.Done():
 	case <-follower.Dead():
-		return errors.Join(membership.ErrDead(), e.shutdown(running, server))
+		return errors.Join(membership.ErrDead(), e.shutdown(running, server, deadTimeout))
 	}
-	return e.shutdown(running, server)
+	return e.shutdown(running, server, process.ShutdownTimeout)
 }
 
 // shutdown leaves and then closes the server.
-func (e *Entry) shutdown(ctx context.Context, server *process.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, process.ShutdownTimeout)
+func (e *Entry) shutdown(ctx context.Context, server *process.Server, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	e.Leave(ctx)
 	return server.Shutdown(ctx)
