--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -155,21 +155,26 @@
 
 func TestAllLost(t *testing.T) {
 	g := newGroup(t)
+	entry := &wire.Member{Incarnation: &wire.Incarnation{Id: "entry1", Number: 1}, Role: wire.Role_ROLE_ENTRY}
+	g.join(entry)
 	g.join(agent(1, 1))
 	g.settle()
 	g.now = g.now.Add(time.Minute)
 	g.settle()
 	g.is.True(!g.machine.isDead(agent(1, 1).GetIncarnation())) // nobody is heard: the leader may be cut off
-	g.join(agent(2, 1))
+	g.join(entry)
 	g.settle()
 	g.is.True(!g.machine.isDead(agent(1, 1).GetIncarnation())) // it has a lease to come back
 	g.now = g.now.Add(600 * time.Millisecond)
-	g.join(agent(2, 1))
+	g.join(entry)
 	g.now = g.now.Add(600 * time.Millisecond)
 	g.settle()
 	g.is.True(g.machine.isDead(agent(1, 1).GetIncarnation()))
 	view := g.machine.state.GetViews()[0]
+	g.is.True(view.GetPrimary() == nil)
 	g.is.True(view.GetLostAtMillis() > 0)
+	g.join(agent(2, 1))
+	g.settle()
 	g.is.True(same(g.machine.state.GetViews()[0].GetPrimary(), agent(2, 1).GetIncarnation()))
 }
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -115,6 +116,16 @@
 	return d.command.ProcessState.ExitCode()
 }
 
+// ended tells whether the process has ended.
+func (d *daemon) ended() bool {
+	select {
+	case <-d.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *daemon) output() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -198,3 +209,19 @@
 	output, _ := c.CombinedOutput()
 	return c.ProcessState.ExitCode(), string(output)
 }
+
+// writeFile writes text to a fresh file and returns its path.
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "file")
+	is.New(t).NoErr(os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+// sigterm asks a process to end in good order.
+const sigterm = syscall.SIGTERM
+
+// containsWord tells whether a field of text is word.
+func containsWord(text, word string) bool {
+	return slices.Contains(strings.Fields(text), word)
+}
