--- a/lib/quorum/quorum.go
+++ b/lib/quorum/quorum.go
@@ -97,6 +97,8 @@
 	Voter   bool
 	// Match is how far the host is known to follow; only a leader knows.
 	Match uint64
+	// Reached is set where the host has answered the leader lately.
+	Reached bool
 }
 
 // Node is one host of a group.
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -230,8 +230,10 @@
 		one := HostStatus{ID: host.GetId(), Address: host.GetAddress(), Voter: host.GetVoter()}
 		if host.GetId() == n.cfg.ID {
 			one.Match = n.store.lastIndex()
+			one.Reached = true
 		} else if p := n.progress[host.GetId()]; p != nil {
 			one.Match = p.match
+			one.Reached = now.Sub(p.ackedAt) < n.leaseTime()
 		}
 		s.Hosts = append(s.Hosts, one)
 	}
