--- a/load/internal/capacity/capacity.go
+++ b/load/internal/capacity/capacity.go
@@ -19,6 +19,7 @@
 	Entries         float64
 	DataCentres     float64
 	ChangesPerDay   float64
+	RestartsPerDay  float64
 	// Relays in each data centre pass heartbeats and changes on.
 	RelaysEach float64
 	// Retention of finished keys in seconds.
@@ -60,6 +61,7 @@
 	s.traffic(w)
 	s.records(w)
 	s.changes(w)
+	s.directory(w)
 	s.relays(w)
 }
 
@@ -143,6 +145,22 @@
 		r.InForce.P99/kilobyte, float64(r.ControlRSS)/megabyte, float64(r.ControlDisk)/megabyte, r.Accepted)
 }
 
+// directory is what a process that starts anew has to fetch.
+func (s Sheet) directory(w io.Writer) {
+	l, ok := s.slopes.Directory()
+	if !ok {
+		return
+	}
+	p := s.plan
+	members := p.Workers + p.Entries
+	size := l.At(members)
+	fmt.Fprintf(w, "Directory as a message: %s bytes (64 shards), %.2f MB at size. A restarted process fetches it once: %.2f KB/s over a day of %.0f restarts. A region that comes back (half of the members) fetches %.0f MB: %.0f minutes at the budget from one leader, %.1f from %.0f relays.\n\n",
+		l, size/megabyte, size*p.RestartsPerDay/secondsPerDay/kilobyte, p.RestartsPerDay, size*members/2/megabyte,
+		size*members/2/kilobyte/p.BudgetKBSecond/60, size*members/2/kilobyte/p.BudgetKBSecond/60/s.relayCount(), s.relayCount())
+}
+
+func (s Sheet) relayCount() float64 { return s.plan.RelaysEach * s.plan.DataCentres }
+
 // relays is the leader's part where relays speak for the members.
 func (s Sheet) relays(w io.Writer) {
 	p := s.plan
@@ -150,12 +168,20 @@
 	if !ok || f.Requests.Slope <= 0 {
 		return
 	}
-	relays := p.RelaysEach * p.DataCentres
+	relays := s.relayCount()
 	renewal := f.KBSecond.Slope / f.Requests.Slope * kilobyte
 	cpu := f.CPU.Slope / f.Requests.Slope * microseconds / percent
-	fmt.Fprintf(w, "One renewal costs the leader %.0f bytes and %.0f µs; %.2f a second from each member. With %.0f relays that renew as often in the name of all, the leader spends %.2f%% of a core and %.2f KB/s on renewals",
-		renewal, cpu, f.Requests.Slope, relays, f.CPU.Slope*relays, f.KBSecond.Slope*relays)
-	change := float64(s.rollout.ChangeBytes) * relays
-	fmt.Fprintf(w, ", and %.2f KB/s on telling relays of changes of configuration; one change leaves it in %.1f s at the budget.\n\n",
-		change*p.ChangesPerDay/secondsPerDay/kilobyte, change/kilobyte/p.BudgetKBSecond)
+	each := p.Workers / relays
+	change := float64(s.rollout.ChangeBytes)
+	fmt.Fprintln(w, "With relays, each renewing as often as a member does today, in the name of its members:")
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "| | leader | each relay |")
+	fmt.Fprintln(w, "|---|---|---|")
+	fmt.Fprintf(w, "| renewals served a second (%.0f bytes and %.0f µs each) | %.0f | %.0f |\n", renewal, cpu, f.Requests.Slope*relays, f.Requests.Slope*each)
+	fmt.Fprintf(w, "| CPU for them, %% of a core (budget %.2g) | %.2f | %.2f |\n", p.BudgetCPU, f.CPU.Slope*relays, f.CPU.Slope*each)
+	fmt.Fprintf(w, "| KB/s for them (budget %.0f) | %.1f | %.1f |\n", p.BudgetKBSecond, f.KBSecond.Slope*relays, f.KBSecond.Slope*each)
+	fmt.Fprintf(w, "| KB/s for changes of configuration over a day | %.2f | %.2f |\n",
+		change*relays*p.ChangesPerDay/secondsPerDay/kilobyte, change*each*p.ChangesPerDay/secondsPerDay/kilobyte)
+	fmt.Fprintf(w, "| one change told within the budget, s | %.1f | %.1f |\n\n",
+		change*relays/kilobyte/p.BudgetKBSecond, change*each/kilobyte/p.BudgetKBSecond)
 }
--- a/load/internal/capacity/planned.go
+++ b/load/internal/capacity/planned.go
@@ -4,7 +4,7 @@
 // Entries, tasks a job, relays and retention are choices of ours.
 func Planned() Plan {
 	return Plan{
-		Workers: 1100, StartsPerSecond: 32_000, TasksPerJob: 12, Entries: 8, DataCentres: 7, ChangesPerDay: 2200,
-		RelaysEach: 2, Retention: 600, BudgetCPU: 4.4, BudgetRSS: 32, BudgetKBSecond: 27,
+		Workers: 1100, StartsPerSecond: 32_000, TasksPerJob: 12, Entries: 8, DataCentres: 7, ChangesPerDay: 2200, RestartsPerDay: 259,
+		RelaysEach: 5, Retention: 600, BudgetCPU: 4.4, BudgetRSS: 32, BudgetKBSecond: 27,
 	}
 }
--- a/load/internal/slope/fit.go
+++ b/load/internal/slope/fit.go
@@ -38,6 +38,21 @@
 	return Fit{CPU: line(agents, cpu), RSS: line(agents, rss), KBSecond: line(agents, bytes), Requests: line(agents, requests)}, true
 }
 
+// Directory is the size of the directory in bytes against the number of agents.
+func (r Result) Directory() (Line, bool) {
+	var agents, bytes []float64
+	for _, p := range r.Points {
+		if p.DirectoryBytes > 0 && p.Phase == Idle {
+			agents = append(agents, float64(p.Agents))
+			bytes = append(bytes, float64(p.DirectoryBytes))
+		}
+	}
+	if len(agents) < 2 {
+		return Line{}, false
+	}
+	return line(agents, bytes), true
+}
+
 // Costs returns the processor time of a start in microseconds at the entry and
 // at the agent, and the bytes of a start at the entry: the means of the busy
 // points with one entry.
--- a/load/internal/slope/point.go
+++ b/load/internal/slope/point.go
@@ -43,8 +43,10 @@
 	StartsPerSecond float64 `json:"startsPerSecond"`
 	JobsPerSecond   float64 `json:"jobsPerSecond"`
 	Failed          int     `json:"failed"`
-	Roles           []Role  `json:"roles"`
-	Error           string  `json:"error,omitempty"`
+	// DirectoryBytes is the size of the directory as a message.
+	DirectoryBytes int    `json:"directoryBytes"`
+	Roles          []Role `json:"roles"`
+	Error          string `json:"error,omitempty"`
 }
 
 // Role is the use of one process of a role, the mean where there are several.
--- a/load/internal/slope/runner.go
+++ b/load/internal/slope/runner.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"skylarklane.example/lib/wire"
 	"skylarklane.example/load/internal/fleet"
 	"skylarklane.example/load/internal/report"
@@ -85,6 +87,9 @@
 	p.Seconds = time.Since(begin).Seconds()
 	after := readAll(ctx, f)
 	p.Roles = rolesBetween(before, after, p)
+	if status, err := f.Status(ctx, f.ControlAddresses()[0]); err == nil {
+		p.DirectoryBytes = proto.Size(status.GetDirectory())
+	}
 	return p
 }
 
