--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"skylarklane.example/lib/placement"
-	"skylarklane.example/lib/quota"
 )
 
 // levels is the number of urgencies.
@@ -21,14 +20,6 @@
 	tasks   int
 }
 
-// team is what the entry knows of one team.
-type team struct {
-	name    string
-	account quota.Account
-	// waiting jobs over all services.
-	waiting int
-}
-
 func newQueue() *queue {
 	q := &queue{}
 	for n := range q.levels {
--- /dev/null
+++ b/lib/slot/offer_test.go
@@ -0,0 +1,152 @@
+package slot
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+// fakeEntry takes offers, or declines them.
+type fakeEntry struct {
+	wire.Entry
+	member *wire.Member
+
+	mu       sync.Mutex
+	declines bool
+	tokens   []*wire.Token
+	last     *wire.OfferRequest
+}
+
+func startEntry(t *testing.T, id string) *fakeEntry {
+	e := &fakeEntry{}
+	server := httptest.NewServer(wire.NewEntryServer(e))
+	t.Cleanup(server.Close)
+	e.member = &wire.Member{
+		Incarnation: &wire.Incarnation{Id: id, Number: 1}, Role: wire.Role_ROLE_ENTRY,
+		Address: server.Listener.Addr().String(),
+	}
+	return e
+}
+
+func (e *fakeEntry) Offer(_ context.Context, q *wire.OfferRequest) (*wire.OfferReply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last = q
+	if e.declines {
+		return &wire.OfferReply{Declined: true, RetryMillis: 100}, nil
+	}
+	e.tokens = append(e.tokens, q.GetTokens()...)
+	return &wire.OfferReply{}, nil
+}
+
+func (e *fakeEntry) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.tokens)
+}
+
+// fakeDirectory is a directory that tests change.
+type fakeDirectory struct {
+	mu        sync.Mutex
+	directory *wire.Directory
+	changed   chan struct{}
+}
+
+func directoryOf(entries ...*fakeEntry) *fakeDirectory {
+	f := &fakeDirectory{changed: make(chan struct{})}
+	f.set(entries...)
+	return f
+}
+
+func (f *fakeDirectory) set(entries ...*fakeEntry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.directory = &wire.Directory{}
+	for _, e := range entries {
+		f.directory.Members = append(f.directory.Members, e.member)
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeDirectory) Directory() *wire.Directory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.directory
+}
+
+func (f *fakeDirectory) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// eventually waits until condition holds.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(time.Minute); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("still not so")
+		}
+	}
+}
+
+func startOfferer(t *testing.T, directory Directory) *Book {
+	b := New(agentA)
+	go NewOfferer(b, agentA, directory, &http.Client{}, slog.New(slog.DiscardHandler)).Run(t.Context())
+	return b
+}
+
+func TestOffersReachAllEntries(t *testing.T) {
+	is := is.New(t)
+	x, y := startEntry(t, "x"), startEntry(t, "y")
+	b := startOfferer(t, directoryOf(x, y))
+	b.Open("server", "sizing", 8)
+	eventually(t, func() bool { return x.count() == 4 && y.count() == 4 })
+	b.Close("server")
+	eventually(t, func() bool { // both are told that nothing is left
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.last.GetCapacities()) == 0
+	})
+	_, ok := b.Take(x.member.GetIncarnation(), x.tokens[0].GetNumber())
+	is.True(!ok)
+}
+
+func TestDeclinedSlotsGoElsewhere(t *testing.T) {
+	x, y := startEntry(t, "x"), startEntry(t, "y")
+	x.declines = true
+	b := startOfferer(t, directoryOf(x, y))
+	b.Open("server", "sizing", 8)
+	eventually(t, func() bool { return y.count() == 8 })
+}
+
+func TestSlotsOfAnEntryThatIsGone(t *testing.T) {
+	is := is.New(t)
+	x, y := startEntry(t, "x"), startEntry(t, "y")
+	directory := directoryOf(x, y)
+	b := startOfferer(t, directory)
+	b.Open("server", "sizing", 8)
+	eventually(t, func() bool { return x.count() == 4 && y.count() == 4 })
+	busy := x.tokens[0].GetNumber()
+	_, ok := b.Take(x.member.GetIncarnation(), busy)
+	is.True(ok)
+	directory.set(y)
+	eventually(t, func() bool { return y.count() == 7 })
+	is.True(b.Return(x.member.GetIncarnation(), busy) == nil)
+	eventually(t, func() bool { return y.count() == 8 }) // with the end of its task
+	numbers := map[uint64]bool{}
+	for _, token := range slices.Concat(x.tokens, y.tokens) {
+		is.True(!numbers[token.GetNumber()]) // each lease has its own number
+		numbers[token.GetNumber()] = true
+	}
+}
