A task barred at an agent goes to another; a refusing agent keeps its token

Cause: an agent that was asked and bars a task refuses it for good, and the entry started it there again and again until the deadline. A start refused because the agent has no lease for a moment lost its token until the next renewal, and was sent again at once. Change: barred tasks skip that agent, and fail plainly where none is left; an agent that refuses for want of a lease keeps its tokens and gets no start for a second. An unanswered question ends as before with the agent's death.

go test -race -count=2 ./lib/entry and ./test/... pass.

--- a/lib/entry/ask.go
+++ b/lib/entry/ask.go
@@ -24,43 +24,40 @@
 	d.mu.Lock()
 	d.scope.Counter("lost_contacts").Inc(1)
 	d.takeBack(s, nil)
-	s.t.server.agent.doubt = true
 	d.mu.Unlock()
-	status := s.ask()
+	reply := s.ask()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leave(s.t)
-	switch status.GetState() {
-	case wire.TaskState_TASK_STATE_UNSPECIFIED:
-		d.fail(s.t.run, reasonLost)
-	default:
-		d.judge(s.t, &wire.StartReply{State: status.GetState(), Result: status.GetResult(), Reason: reasonOr(status.GetReason(), "barred")})
-	}
+	d.judge(s.t, reply)
 	d.proceed(s.t.run)
 }
 
 // ask repeats the question until it is answered, the agent is gone or the job
-// has ended. It returns nil where there is no answer.
-func (s *start) ask() *wire.TaskStatus {
+// has ended. The state of the reply is unspecified where there is no answer.
+func (s *start) ask() *wire.StartReply {
 	delay := firstAskDelay
 	a := s.t.server.agent
 	for a.alive.Err() == nil {
-		if status := s.askOnce(); status != nil && status.GetState() != wire.TaskState_TASK_STATE_RUNNING {
-			return status
+		if reply := s.askOnce(); reply.GetState() != wire.TaskState_TASK_STATE_RUNNING {
+			return reply
 		}
 		select {
 		case <-a.alive.Done():
 		case <-s.t.run.done:
-			return nil
+			return &wire.StartReply{}
 		case <-time.After(delay):
 		}
 		delay = min(2*delay, lastAskDelay)
 	}
-	return nil
+	return &wire.StartReply{}
 }
 
-func (s *start) askOnce() *wire.TaskStatus {
+// askOnce returns what the agent says of the task. It is running as long as
+// there is no answer.
+func (s *start) askOnce() *wire.StartReply {
 	a := s.t.server.agent
+	unknown := &wire.StartReply{State: wire.TaskState_TASK_STATE_RUNNING}
 	ctx, cancel := context.WithTimeout(a.alive, askTimeout)
 	defer cancel()
 	reply, err := a.client.Ask(ctx, &wire.AskRequest{
@@ -71,12 +68,12 @@
 		Bar:        true,
 	})
 	if err != nil {
-		return nil
+		return unknown
 	}
 	for _, status := range reply.GetTasks() {
 		if status.GetTask() == s.t.number && status.GetState() != wire.TaskState_TASK_STATE_UNSPECIFIED {
-			return status
+			return &wire.StartReply{State: status.GetState(), Reason: status.GetReason(), Result: status.GetResult()}
 		}
 	}
-	return nil
+	return unknown
 }
--- a/lib/entry/dispatch.go
+++ b/lib/entry/dispatch.go
@@ -16,6 +16,7 @@
 func (d *dispatcher) dispatch(k *desk) {
 	now := time.Now()
 	var passed []*run
+	var aside []*task
 	var look fasterSlots
 	ahead := 0
 	for k.pool.idle > 0 && len(passed) < maxLook {
@@ -29,7 +30,12 @@
 		}
 		n := look.waiting(k, r, h, ahead, now)
 		if n < len(r.ready) {
-			d.start(k.queue.take(r, n), h, now)
+			t := k.queue.take(r, n)
+			if h = k.pool.elsewhere(t, h, now); h == nil {
+				aside = append(aside, t)
+				continue
+			}
+			d.start(t, h, now)
 			continue
 		}
 		k.pool.put(h)
@@ -40,6 +46,9 @@
 	for _, r := range passed {
 		k.queue.enter(r)
 	}
+	for _, t := range aside {
+		k.queue.push(t)
+	}
 	if len(passed) > 0 {
 		d.lookAgain(k)
 	}
--- a/lib/entry/dispatcher_test.go
+++ b/lib/entry/dispatcher_test.go
@@ -161,6 +161,7 @@
 		starts int
 	}{
 		{"it never started", wire.TaskState_TASK_STATE_NOT_STARTED, complete, 2},
+		{"it never started, no other worker", wire.TaskState_TASK_STATE_NOT_STARTED, wire.OutcomeKind_OUTCOME_KIND_FAILED, 1},
 		{"it was done", wire.TaskState_TASK_STATE_DONE, complete, 1},
 		{"it failed", wire.TaskState_TASK_STATE_FAILED, wire.OutcomeKind_OUTCOME_KIND_FAILED, 1},
 	}
@@ -179,9 +180,16 @@
 				if asks.Add(1) == 1 {
 					return &wire.AskReply{Tasks: []*wire.TaskStatus{{State: wire.TaskState_TASK_STATE_RUNNING}}}
 				}
-				return &wire.AskReply{Tasks: []*wire.TaskStatus{{State: c.state, Result: []byte("1")}}}
+				return &wire.AskReply{Tasks: []*wire.TaskStatus{{State: c.state, Result: []byte("1"), Reason: "barred"}}}
 			}
-			d, _ := newTestDispatcher(t, a)
+			agents := []*fakeAgent{a}
+			if c.name == "it never started" {
+				agents = append([]*fakeAgent{startAgent(t, "worker2", 1, func(q *wire.StartRequest) *wire.StartReply {
+					starts.Add(1)
+					return done(q)
+				})}, a)
+			}
+			d, _ := newTestDispatcher(t, agents...)
 			is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 1)).GetKind(), c.kind)
 			is.Equal(int(starts.Load()), c.starts)
 		})
@@ -258,3 +266,16 @@
 	is.Equal(d.Run(t.Context(), job).GetKind(), wire.OutcomeKind_OUTCOME_KIND_FAILED)
 	is.Equal(len(r.starts()), 2)
 }
+
+// TestRefusingAgentKeepsItsToken has an agent refuse starts while it has no
+// lease.
+func TestRefusingAgentKeepsItsToken(t *testing.T) {
+	is := is.New(t)
+	a := startAgent(t, "worker1", 1, done)
+	d, _ := newTestDispatcher(t, a)
+	keep := &keeper{d: d}
+	go keep.loop(t.Context())
+	a.refusals.Store(2)
+	is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 1)).GetKind(), complete)
+	is.Equal(d.status().Services[0].TokensIdle, 1)
+}
--- a/lib/entry/fake_test.go
+++ b/lib/entry/fake_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
@@ -61,6 +62,8 @@
 	book   *slot.Book
 	run    func(q *wire.StartRequest) *wire.StartReply
 	ask    func(q *wire.AskRequest) *wire.AskReply
+	// refusals are the starts to refuse for want of a lease.
+	refusals atomic.Int64
 
 	mu        sync.Mutex
 	cancelled []*wire.CancelRequest
@@ -79,6 +82,9 @@
 }
 
 func (a *fakeAgent) Start(_ context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
+	if a.refusals.Add(-1) >= 0 {
+		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "noLease"}, nil
+	}
 	if _, ok := a.book.Take(q.GetCoordinator(), q.GetToken()); !ok {
 		return &wire.StartReply{State: wire.TaskState_TASK_STATE_NOT_STARTED, Reason: "voidToken"}, nil
 	}
--- a/lib/entry/job.go
+++ b/lib/entry/job.go
@@ -68,6 +68,8 @@
 	// server and startedAt are set while it is started.
 	server    *server
 	startedAt time.Time
+	// barred are the agents that must not start it any more.
+	barred map[*agent]bool
 }
 
 // expectedAt returns the expected run time at the server that runs the task, by
--- a/lib/entry/start.go
+++ b/lib/entry/start.go
@@ -77,14 +77,15 @@
 
 // answered takes the reply of an agent in.
 func (d *dispatcher) answered(s *start, reply *wire.StartReply) {
+	d.mu.Lock()
+	d.takeBack(s, reply)
+	d.mu.Unlock()
 	if reply.GetState() == wire.TaskState_TASK_STATE_RUNNING {
-		d.lost(s)
-		return
+		reply = s.ask()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leave(s.t)
-	d.takeBack(s, reply.GetToken())
 	d.judge(s.t, reply)
 	d.proceed(s.t.run)
 }
@@ -101,15 +102,32 @@
 		}
 		d.done(t, reply.GetResult())
 	case wire.TaskState_TASK_STATE_NOT_STARTED:
-		if reply.GetReason() == reasonUnreachable {
-			server.health = server.health.WithUnreachable(time.Now())
-		}
-		d.retry(t, reply.GetReason())
+		d.notStarted(t, reply.GetReason())
+	case wire.TaskState_TASK_STATE_UNSPECIFIED:
+		d.fail(t.run, reasonLost)
 	default:
 		d.failed(t, reasonOr(reply.GetReason(), reasonFailed))
 	}
 }
 
+// notStarted has a task started elsewhere, or here again later.
+func (d *dispatcher) notStarted(t *task, reason string) {
+	now := time.Now()
+	switch {
+	case reason == reasonUnreachable:
+		t.server.health = t.server.health.WithUnreachable(now)
+	case barring(reason):
+		t.bar(t.server.agent)
+	case passing(reason):
+		t.server.agent.suspect(now)
+	}
+	if d.barredEverywhere(t) {
+		d.fail(t.run, reasonLost)
+		return
+	}
+	d.retry(t, reason)
+}
+
 // failed ends a job for a failed task. A task that the agent has stopped says
 // nothing of its server: its deadline passed.
 func (d *dispatcher) failed(t *task, reason string) {
--- a/lib/entry/tokens.go
+++ b/lib/entry/tokens.go
@@ -108,19 +108,27 @@
 	}
 }
 
-// takeBack puts the token of a start back, or drops it where it is gone.
-func (d *dispatcher) takeBack(s *start, token *wire.Token) {
+// takeBack puts the token of a start back, or drops it where it is gone. An
+// agent that refuses all starts for a moment still has the token's slot.
+func (d *dispatcher) takeBack(s *start, reply *wire.StartReply) {
 	h := s.h
 	if h == nil || h.gone {
 		return
 	}
 	a := h.server.agent
-	if token == nil || a.gone || a.member.GetLeaving() {
+	switch {
+	case a.gone || a.member.GetLeaving():
+		d.void(h)
+	case reply.GetToken() != nil:
+		h.until = leaseEnd(reply.GetToken(), time.Now())
+		h.server.desk.pool.put(h)
+	case passing(reply.GetReason()):
+		a.suspect(time.Now())
+		h.server.desk.pool.put(h)
+	default:
+		a.doubt = true
 		d.void(h)
-		return
 	}
-	h.until = leaseEnd(token, time.Now())
-	h.server.desk.pool.put(h)
 }
 
 // void drops a token for good.
