A leader is deaf after half a lease; test systems have a supervisor

Now it is deaf after half a lease. Jobs that must be answered carry their time of submission, as keys without one stay unknown after a loss.

--- a/lib/control/leases.go
+++ b/lib/control/leases.go
@@ -51,7 +51,7 @@
 }
 
 // hear takes a member's renewal in. The first after nobody was heard of for a
-// lease shows that this host was cut off, not that the others are dead: all of
+// while shows that this host was cut off, not that the others are dead: all of
 // them get a full lease.
 func (l *leases) hear(members []*wire.Member, who *wire.Incarnation, version uint64, now time.Time) {
 	if l.deaf(now) {
@@ -61,8 +61,9 @@
 	l.renew(who, version, now)
 }
 
-// deaf tells whether no member was heard of for a lease.
-func (l *leases) deaf(now time.Time) bool { return now.Sub(l.heardAt) >= l.length }
+// deaf tells whether no member was heard of for half a lease. Members renew
+// theirs more often than that, and no lease ends sooner after the cut.
+func (l *leases) deaf(now time.Time) bool { return now.Sub(l.heardAt) >= l.length/2 }
 
 // renew extends a member's lease, counted from now.
 func (l *leases) renew(who *wire.Incarnation, version uint64, now time.Time) {
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -165,9 +165,10 @@
 	g.join(entry)
 	g.settle()
 	g.is.True(!g.machine.isDead(agent(1, 1).GetIncarnation())) // it has a lease to come back
-	g.now = g.now.Add(600 * time.Millisecond)
-	g.join(entry)
-	g.now = g.now.Add(600 * time.Millisecond)
+	for range 3 {
+		g.now = g.now.Add(400 * time.Millisecond)
+		g.join(entry)
+	}
 	g.settle()
 	g.is.True(g.machine.isDead(agent(1, 1).GetIncarnation()))
 	view := g.machine.state.GetViews()[0]
--- a/test/freeze_test.go
+++ b/test/freeze_test.go
@@ -41,10 +41,10 @@
 func TestReplicaFrozen(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, size{controls: 1, entries: 2, agents: 5})
+	defer s.supervise()()
 	stop := background(s.load("frozen", 4))
 	s.agents[0].freeze(freezeTime)
 	time.Sleep(leaseMillis * time.Millisecond)
-	s.revive()
 	for i := range s.entries {
 		s.awaitJob(i)
 	}
--- a/test/journal_test.go
+++ b/test/journal_test.go
@@ -43,6 +43,8 @@
 	values    []string
 	runMillis int
 	deadline  time.Duration
+	// submittedAt is told to the system where it is set.
+	submittedAt time.Time
 }
 
 // newJob returns a job of n tasks, each with a value of its own.
@@ -54,6 +56,13 @@
 	return j
 }
 
+// stamped returns the job with the time of its submission. Its key is then
+// known to be younger than a loss of records before.
+func (j job) stamped() job {
+	j.submittedAt = time.Now()
+	return j
+}
+
 // altered returns the job with other content under the same key.
 func (j job) altered() job {
 	j.values = slices.Clone(j.values)
@@ -151,6 +160,9 @@
 	if method == http.MethodPost {
 		r.Header.Set("Idempotency-Key", a.job.key)
 	}
+	if !a.job.submittedAt.IsZero() {
+		r.Header.Set("Submitted-At", a.job.submittedAt.Format(time.RFC3339Nano))
+	}
 	response, err := plainTransport.RoundTrip(r)
 	if err != nil {
 		a.text = err.Error()
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -34,6 +34,9 @@
 		c.entry++
 		kind := []string{"finCheck", "labelRelease"}[i%2]
 		j := newJob(fmt.Sprintf("%s-%d", c.prefix, i), kind, 1+i%6, 10+i%40)
+		if i%4 < 2 {
+			j = j.stamped()
+		}
 		c.sent = append(c.sent, j)
 		var copies sync.WaitGroup
 		if i%3 == 0 {
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -29,12 +29,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			s := newSystem(t, size{controls: 1, entries: 2, agents: 4})
+			defer s.supervise()()
 			stop := background(s.load("cut", 4))
 			n := test.node(s)
 			test.wound(n.link)
 			time.Sleep(cutTime)
 			n.link.heal()
-			s.revive()
 			for i := range s.entries {
 				s.awaitReady(s.entries[i])
 				s.awaitJob(i)
--- a/test/random_test.go
+++ b/test/random_test.go
@@ -80,9 +80,9 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSystem(t, size{controls: 3, entries: 3, agents: 5})
+			defer s.supervise()()
 			stop := background(s.load(fmt.Sprintf("seed-%d", seed), 6))
 			s.runPlan(rand.New(rand.NewPCG(seed, 0)))
-			s.revive()
 			for i, e := range s.entries {
 				s.awaitReady(e)
 				s.awaitJob(i)
@@ -107,7 +107,6 @@
 		running.Go(func() { chosen.do(s, n, d) })
 		if source.IntN(3) > 0 {
 			running.Wait()
-			s.revive()
 		}
 	}
 }
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -189,7 +189,7 @@
 	}()
 	eventually(s.t, "a job is answered by "+s.entries[entry].id, func() bool {
 		n++
-		last = s.send(entry, newJob(fmt.Sprintf("warm-%s-%d-%d", s.entries[entry].id, time.Now().UnixNano(), n), "finCheck", 4, 1))
+		last = s.send(entry, newJob(fmt.Sprintf("warm-%s-%d-%d", s.entries[entry].id, time.Now().UnixNano(), n), "finCheck", 4, 1).stamped())
 		return last.outcome == outcomeComplete
 	})
 }
@@ -319,16 +319,25 @@
 	}
 }
 
-// revive starts the daemons again that have ended, as a supervisor would: one
-// that was declared dead ends by itself.
-func (s *system) revive() {
-	s.t.Helper()
-	for _, n := range s.nodes() {
-		n.lock.Lock()
-		if n.ended() {
-			n.restart()
+// supervise starts daemons again that have ended, as a supervisor would: one
+// that was declared dead ends by itself. It returns how to stop that.
+func (s *system) supervise() (stop func()) {
+	return background(func(ctx context.Context) {
+		for ctx.Err() == nil {
+			for _, n := range s.nodes() {
+				n.revive()
+			}
+			time.Sleep(50 * time.Millisecond)
 		}
-		n.lock.Unlock()
+	})
+}
+
+// revive starts the daemon again where it has ended by itself.
+func (n *node) revive() {
+	n.lock.Lock()
+	defer n.lock.Unlock()
+	if n.ended() {
+		n.restart()
 	}
 }
 
