--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -42,7 +42,7 @@
 
 func (g *group) join(member *wire.Member) {
 	g.apply(joinCommand(member))
-	g.leases.renew(member.GetIncarnation(), 0, g.now)
+	g.leases.hear(g.machine.state.GetMembers(), member.GetIncarnation(), 0, g.now)
 }
 
 // settle carries decisions out until there are none; joining members copy.
@@ -155,10 +155,22 @@
 
 func TestAllLost(t *testing.T) {
 	g := newGroup(t)
+	entry := &wire.Member{Incarnation: &wire.Incarnation{Id: "entry1", Number: 1}, Role: wire.Role_ROLE_ENTRY}
+	g.join(entry)
 	g.join(agent(1, 1))
 	g.settle()
 	g.now = g.now.Add(time.Minute)
 	g.settle()
+	g.is.True(!g.machine.isDead(agent(1, 1).GetIncarnation())) // nobody is heard: the leader may be cut off
+	g.join(entry)
+	g.settle()
+	g.is.True(!g.machine.isDead(agent(1, 1).GetIncarnation())) // it has a lease to come back
+	for range 3 {
+		g.now = g.now.Add(400 * time.Millisecond)
+		g.join(entry)
+	}
+	g.settle()
+	g.is.True(g.machine.isDead(agent(1, 1).GetIncarnation()))
 	view := g.machine.state.GetViews()[0]
 	g.is.True(view.GetPrimary() == nil)
 	g.is.True(view.GetLostAtMillis() > 0)
