--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -32,7 +32,7 @@
 	kinds   map[string]*kindState
 
 	borrowers []*borrower
-	borrowing map[incarnation]bool
+	borrowing map[loanID]bool
 	recheck   bool
 	// emptySince is since when no worker has a slot; zero while one has.
 	emptySince time.Time
@@ -45,7 +45,7 @@
 		pool:       &pool{},
 		running:    map[*task]struct{}{},
 		kinds:      map[string]*kindState{},
-		borrowing:  map[incarnation]bool{},
+		borrowing:  map[loanID]bool{},
 		emptySince: since,
 	}
 }
@@ -56,6 +56,21 @@
 	times placement.Average
 	// sizes are the times by the payload's size.
 	sizes map[int]placement.Average
+	// waiting tasks by urgency, which a change of configuration may move.
+	waiting [levels]int
+}
+
+// learned tells whether enough runs were seen to go by.
+func (s *kindState) learned() bool { return s.times.N >= learnedRuns }
+
+// ahead returns the expected run time of the waiting tasks that are at least
+// as urgent.
+func (s *kindState) ahead(urgency wire.Urgency) time.Duration {
+	n := 0
+	for _, waiting := range s.waiting[urgency:] {
+		n += waiting
+	}
+	return time.Duration(n) * s.times.Duration()
 }
 
 // kind returns what is known of a kind, at first what it declares.
@@ -100,12 +115,13 @@
 
 // demand is what the desk has and needs.
 func (k *desk) demand() placement.Demand {
-	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.tasks}
+	return placement.Demand{Held: k.pool.held, Idle: k.pool.usable(), Queued: k.queue.waiting}
 }
 
-// lacks tells whether a task could start now if there were a slot.
-func (k *desk) lacks() bool {
-	return k.pool.usable() == 0 && k.queue.startable()
+// lacks tells whether tasks of an urgency wait because no slot is idle, not
+// because of a team's limit.
+func (k *desk) lacks(urgency wire.Urgency) bool {
+	return k.pool.usable() == 0 && poorest(k.queue.levels[urgency]) != nil
 }
 
 // fasterSlots are the busy slots at workers that are much faster than the best
@@ -115,21 +131,29 @@
 	busy   []placement.Busy
 }
 
-// waits tells whether t should rather wait for a faster worker than h's.
-func (f *fasterSlots) waits(k *desk, t *task, h *held, ahead int, now time.Time) bool {
+// waiting returns how many of a job's tasks, from the first, should rather wait
+// for a faster worker than h's.
+func (f *fasterSlots) waiting(k *desk, r *run, h *held, ahead int, now time.Time) int {
 	factor := h.server.speed.Value()
-	if time.Duration(float64(t.expected)*factor) < shortRun {
-		return false
-	}
-	if f.server != h.server {
-		f.server = h.server
-		f.busy = k.faster(factor, now)
+	for n := range r.ready {
+		t := r.ready[len(r.ready)-1-n]
+		if time.Duration(float64(t.expected)*factor) < shortRun {
+			return n
+		}
+		if f.server != h.server {
+			f.server = h.server
+			f.busy = k.faster(t.expected, factor, now)
+		}
+		if !placement.Waits(t.expected, factor, f.busy, ahead+n) {
+			return n
+		}
 	}
-	return placement.Waits(t.expected, factor, f.busy, ahead)
+	return len(r.ready)
 }
 
-// faster returns the busy slots at workers that are much faster than factor.
-func (k *desk) faster(factor float64, now time.Time) []placement.Busy {
+// faster returns the busy slots at workers that are much faster than factor,
+// first those on which a task of the given run time ends first.
+func (k *desk) faster(run time.Duration, factor float64, now time.Time) []placement.Busy {
 	var busy []placement.Busy
 	for t := range k.running {
 		f := t.server.speed.Value()
@@ -137,15 +161,23 @@
 			busy = append(busy, placement.Busy{FreeIn: t.remaining(now), Factor: f})
 		}
 	}
-	slices.SortFunc(busy, func(a, b placement.Busy) int { return int(a.FreeIn - b.FreeIn) })
+	slices.SortFunc(busy, func(a, b placement.Busy) int { return int(a.End(run) - b.End(run)) })
 	return busy
 }
 
-// load is the work before a new job of an urgency.
+// load is the work before a new job of an urgency, as far as the kinds of its
+// tasks are learned.
 func (k *desk) load(urgency wire.Urgency, slots int, now time.Time) placement.Load {
-	load := placement.Load{Slots: slots, Queued: k.queue.ahead(urgency)}
+	load := placement.Load{Slots: slots}
+	for _, kind := range k.kinds {
+		if kind.learned() {
+			load.Queued += kind.ahead(urgency)
+		}
+	}
 	for t := range k.running {
-		load.Running += t.remaining(now)
+		if t.run.kind.learned() {
+			load.Running += t.remaining(now)
+		}
 	}
 	return load
 }
--- a/lib/entry/queue.go
+++ b/lib/entry/queue.go
@@ -2,23 +2,23 @@
 
 import (
 	"container/heap"
-	"time"
+	"slices"
 
+	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/quota"
-	"skylarklane.example/lib/wire"
 )
 
 // levels is the number of urgencies.
-const levels = int(wire.Urgency_URGENCY_URGENT) + 1
+const levels = placement.Urgencies
 
 // queue holds the tasks of one service that wait for a slot: the most urgent
 // first, then the team that has used least of its share, then the earliest
 // deadline, then the longest task of the job.
 type queue struct {
 	levels [levels]map[*team]*jobHeap
-	// work is the expected run time of all waiting tasks by urgency.
-	work  [levels]time.Duration
-	tasks int
+	// waiting is the number of waiting tasks by urgency.
+	waiting [levels]int
+	tasks   int
 }
 
 // team is what the entry knows of one team.
@@ -37,27 +37,21 @@
 	return q
 }
 
-// next removes the task whose turn it is; nil where none may start.
-func (q *queue) next() *task {
+// top returns the job whose turn it is; nil where none may start a task.
+func (q *queue) top() *run {
 	for n := levels - 1; n >= 0; n-- {
 		if jobs := poorest(q.levels[n]); jobs != nil {
-			r := (*jobs)[0]
-			t := r.ready[len(r.ready)-1]
-			q.drop(r, len(r.ready)-1)
-			return t
+			return (*jobs)[0]
 		}
 	}
 	return nil
 }
 
-// startable tells whether a task may start.
-func (q *queue) startable() bool {
-	for n := range q.levels {
-		if poorest(q.levels[n]) != nil {
-			return true
-		}
-	}
-	return false
+// take removes the waiting task at place n of its job's line.
+func (q *queue) take(r *run, n int) *task {
+	t := r.ready[len(r.ready)-1-n]
+	q.drop(r, len(r.ready)-1-n)
+	return t
 }
 
 // poorest returns the jobs of the team that has used least of its share among
@@ -84,7 +78,8 @@
 	r := t.run
 	r.ready = append(r.ready, t)
 	q.tasks++
-	q.work[r.urgency] += t.expected
+	q.waiting[r.urgency]++
+	r.kind.waiting[r.urgency]++
 	if r.place < 0 {
 		q.enter(r)
 	}
@@ -93,10 +88,10 @@
 // drop takes one waiting task out of its job.
 func (q *queue) drop(r *run, n int) {
 	q.tasks--
-	q.work[r.urgency] -= r.ready[n].expected
-	r.ready[n] = nil
-	r.ready = r.ready[:n]
-	if n == 0 {
+	q.waiting[r.urgency]--
+	r.kind.waiting[r.urgency]--
+	r.ready = slices.Delete(r.ready, n, n+1)
+	if len(r.ready) == 0 {
 		q.leave(r)
 	}
 }
@@ -127,16 +122,6 @@
 	}
 }
 
-// ahead returns the expected run time of the tasks that go before a job of an
-// urgency.
-func (q *queue) ahead(urgency wire.Urgency) time.Duration {
-	sum := time.Duration(0)
-	for n := int(urgency); n < levels; n++ {
-		sum += q.work[n]
-	}
-	return sum
-}
-
 // jobHeap orders the waiting jobs of a team by deadline.
 type jobHeap []*run
 
