--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
@@ -32,6 +33,7 @@
 	log    *slog.Logger
 	scope  tally.Scope
 	page   http.Handler
+	hooks  *twirp.ServerHooks
 	node   *quorum.Node
 	// state belongs to the node's goroutine.
 	state *state
@@ -49,6 +51,7 @@
 		log:    log,
 		scope:  metrics.Scope(),
 		page:   metrics.Handler(),
+		hooks:  metrics.Hooks(),
 		state:  &state{machine: newMachine(), leases: newLeases(time.Duration(cfg.GetLeaseMillis()) * time.Millisecond)},
 	}
 	peers := hosts(cfg)
--- a/lib/control/handler.go
+++ b/lib/control/handler.go
@@ -15,8 +15,8 @@
 // Handler serves the other hosts, the members and operators.
 func (c *Control) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wire.ControlPathPrefix, keepHeader(wire.NewControlServer(c, c.metrics.Hooks())))
-	mux.Handle(wire.QuorumPathPrefix, wire.NewQuorumServer(c.node, c.metrics.Hooks()))
+	mux.Handle(wire.ControlPathPrefix, keepHeader(wire.NewControlServer(c, c.hooks)))
+	mux.Handle(wire.QuorumPathPrefix, wire.NewQuorumServer(c.node, c.hooks))
 	mux.Handle("/metrics", c.page)
 	mux.HandleFunc("/healthz", c.healthz)
 	mux.HandleFunc("/readyz", c.readyz)
