--- a/load/internal/fleet/fleet.go
+++ b/load/internal/fleet/fleet.go
@@ -85,14 +85,15 @@
 	return f, nil
 }
 
-// Close ends all processes, by their ids, and the stand-ins.
+// Close ends all processes at once, by their ids, and the stand-ins. Leaving in
+// good order would take each its time, and what was measured is over.
 func (f *Fleet) Close() {
 	f.cancel()
 	f.servers.Wait()
 	f.client.CloseIdleConnections()
 	var stops sync.WaitGroup
 	for _, p := range f.Processes() {
-		stops.Go(p.Stop)
+		stops.Go(p.Kill)
 	}
 	stops.Wait()
 	_ = os.RemoveAll(f.folder)
--- a/load/internal/fleet/process.go
+++ b/load/internal/fleet/process.go
@@ -19,7 +19,6 @@
 
 const (
 	readyTimeout = 30 * time.Second
-	stopTimeout  = 5 * time.Second
 	keptLogLines = 40
 )
 
@@ -81,16 +80,6 @@
 	<-p.exited
 }
 
-// Stop ends the process gracefully, and at once where that takes too long.
-func (p *Process) Stop() {
-	_ = p.command.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-p.exited:
-	case <-time.After(stopTimeout):
-		p.Kill()
-	}
-}
-
 // Log returns the last log lines.
 func (p *Process) Log() string {
 	p.mu.Lock()
