--- a/load/internal/report/origin.go
+++ b/load/internal/report/origin.go
@@ -34,13 +34,19 @@
 	return strings.TrimSpace(string(text))
 }
 
-// commit is the commit of the source; "+" marks changes on top of it.
+// commit is the commit of the source; "+" marks changes on top of it, pages and
+// results left out.
 func commit() string {
-	text, err := exec.Command("git", "describe", "--always", "--dirty=+", "--exclude=*").Output()
+	head, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
 	if err != nil {
 		return "unknown"
 	}
-	return strings.TrimSpace(string(text))
+	name := strings.TrimSpace(string(head))
+	changes, err := exec.Command("git", "status", "--porcelain", "--", ":/", ":!/docs").Output()
+	if err != nil || len(changes) > 0 {
+		name += "+"
+	}
+	return name
 }
 
 func memory() int64 {
