--- a/lib/control/directory.go
+++ b/lib/control/directory.go
@@ -9,14 +9,13 @@
 // directory returns the whole directory. Its parts are never changed in place,
 // so that it may be sent while the state moves on.
 func (m *machine) directory() *wire.Directory {
-	inForce := m.configuration()
 	d := &wire.Directory{
 		Version:         m.state.GetVersion(),
 		Members:         slices.Clone(m.state.GetMembers()),
 		Views:           slices.Clone(m.state.GetViews()),
-		ConfigVersion:   inForce.GetVersion(),
-		Services:        inForce.GetServices(),
-		Teams:           inForce.GetTeams(),
+		ConfigVersion:   m.inForce.GetVersion(),
+		Services:        m.inForce.GetServices(),
+		Teams:           m.inForce.GetTeams(),
 		RetentionMillis: m.state.GetRetentionMillis(),
 	}
 	for _, death := range m.state.GetDeaths() {
@@ -49,10 +48,8 @@
 			d.Views = append(d.Views, view)
 		}
 	}
-	if inForce := m.configuration(); inForce.GetVersion() != configVersion {
-		d.Configuration = &wire.Configuration{
-			Version: inForce.GetVersion(), Services: inForce.GetServices(), Teams: inForce.GetTeams(),
-		}
+	if m.inForce.GetVersion() != configVersion {
+		d.Configuration = m.inForce
 	}
 	return d
 }
--- a/lib/control/history.go
+++ b/lib/control/history.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"slices"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
@@ -17,21 +18,22 @@
 	reasonInvalid        = "invalidConfiguration"
 )
 
-// configuration returns the change in force, an empty one at first.
-func (m *machine) configuration() *wire.Change {
+// latest returns the newest change without its content, an empty one at first.
+func (m *machine) latest() *wire.Change {
 	if n := len(m.state.GetChanges()); n > 0 {
-		return m.state.Changes[n-1]
+		return m.state.Changes[n-1].GetChange()
 	}
 	return &wire.Change{}
 }
 
 // change returns the change with an id, nil where none is known.
 func (m *machine) change(id string) *wire.Change {
-	i := slices.IndexFunc(m.state.GetChanges(), func(c *wire.Change) bool { return c.GetChangeId() == id })
-	if i < 0 {
-		return nil
+	for _, kept := range m.state.GetChanges() {
+		if kept.GetChange().GetChangeId() == id {
+			return kept.GetChange()
+		}
 	}
-	return m.state.Changes[i]
+	return nil
 }
 
 // publish accepts a change that is based on the version in force, once.
@@ -40,26 +42,25 @@
 	if old := m.change(q.GetChangeId()); old != nil {
 		return again(old, digest)
 	}
-	inForce := m.configuration()
-	if q.GetBaseVersion() != inForce.GetVersion() {
+	latest := m.latest()
+	if q.GetBaseVersion() != latest.GetVersion() {
 		return &wire.PublishReply{
-			Version:        inForce.GetVersion(),
-			Winner:         inForce.GetAuthor(),
-			WinnerChangeId: inForce.GetChangeId(),
+			Version:        latest.GetVersion(),
+			Winner:         latest.GetAuthor(),
+			WinnerChangeId: latest.GetChangeId(),
 			Reason:         reasonBaseNotInForce,
 		}
 	}
 	change := &wire.Change{
-		Version:          inForce.GetVersion() + 1,
+		Version:          latest.GetVersion() + 1,
 		ChangeId:         q.GetChangeId(),
 		Author:           q.GetAuthor(),
 		AcceptedAtMillis: at,
-		Services:         q.GetServices(),
-		Teams:            q.GetTeams(),
 		Digest:           digest,
 	}
 	m.state.Version = index
-	m.state.Changes = append(m.state.Changes, change)
+	m.inForce = &wire.Configuration{Version: change.GetVersion(), Services: q.GetServices(), Teams: q.GetTeams()}
+	m.state.Changes = append(m.state.Changes, &wire.KeptChange{Change: change, Content: encode(m.inForce)})
 	m.trim()
 	return &wire.PublishReply{Accepted: true, Version: change.GetVersion()}
 }
@@ -81,11 +82,7 @@
 // digestOf tells the content of changes apart.
 func digestOf(q *wire.PublishRequest) []byte {
 	content := &wire.PublishRequest{BaseVersion: q.GetBaseVersion(), Services: q.GetServices(), Teams: q.GetTeams()}
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(content)
-	if err != nil {
-		panic(err)
-	}
-	sum := sha256.Sum256(b)
+	sum := sha256.Sum256(encode(content))
 	return sum[:]
 }
 
@@ -96,19 +93,16 @@
 		changes = slices.Clone(changes[n:])
 	}
 	if n := len(changes) - maxContents; n > 0 {
-		old := changes[n-1]
-		changes[n-1] = &wire.Change{
-			Version: old.GetVersion(), ChangeId: old.GetChangeId(), Author: old.GetAuthor(),
-			AcceptedAtMillis: old.GetAcceptedAtMillis(), Digest: old.GetDigest(), Dropped: true,
-		}
+		changes[n-1] = &wire.KeptChange{Change: changes[n-1].GetChange()}
 	}
 	m.state.Changes = changes
 }
 
 // since lists at most limit changes from a version on, all where limit is 0.
-func (m *machine) since(version uint64, limit int) []*wire.Change {
+// They are still encoded: reveal makes them whole.
+func (m *machine) since(version uint64, limit int) []*wire.KeptChange {
 	changes := m.state.GetChanges()
-	first := slices.IndexFunc(changes, func(c *wire.Change) bool { return c.GetVersion() >= version })
+	first := slices.IndexFunc(changes, func(c *wire.KeptChange) bool { return c.GetChange().GetVersion() >= version })
 	if first < 0 {
 		return nil
 	}
@@ -118,3 +112,37 @@
 	}
 	return slices.Clone(found)
 }
+
+// reveal decodes kept changes.
+func reveal(kept []*wire.KeptChange) ([]*wire.Change, error) {
+	var changes []*wire.Change
+	for _, one := range kept {
+		change := proto.CloneOf(one.GetChange())
+		change.Dropped = one.Content == nil
+		content, err := decode(one.GetContent())
+		if err != nil {
+			return nil, err
+		}
+		change.Services = content.GetServices()
+		change.Teams = content.GetTeams()
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
+
+func decode(content []byte) (*wire.Configuration, error) {
+	configuration := &wire.Configuration{}
+	if err := proto.Unmarshal(content, configuration); err != nil {
+		return nil, &Error{Op: "decode", Kind: KindState, Err: eris.Wrap(err, "a kept change cannot be read")}
+	}
+	return configuration, nil
+}
+
+// encode encodes a message of the schema, which cannot fail.
+func encode(m proto.Message) []byte {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -16,17 +16,19 @@
 	// maxChanges bounds how many changes of the configuration are known by id.
 	maxChanges = 8192
 	// maxContents bounds how many changes are kept with their content.
-	maxContents = 256
+	maxContents = 128
 )
 
 // machine is the state that the control group agrees upon. It changes by
 // commands alone, and the same commands make the same state on every host.
 type machine struct {
 	state *wire.ControlState
+	// inForce is the newest change's content, decoded.
+	inForce *wire.Configuration
 }
 
 func newMachine() *machine {
-	return &machine{state: &wire.ControlState{}}
+	return &machine{state: &wire.ControlState{}, inForce: &wire.Configuration{}}
 }
 
 // Apply implements quorum.Machine.
@@ -40,11 +42,7 @@
 
 // Snapshot implements quorum.Machine.
 func (m *machine) Snapshot() []byte {
-	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
-	if err != nil {
-		panic(err)
-	}
-	return b
+	return encode(m.state)
 }
 
 // Restore implements quorum.Machine.
@@ -53,7 +51,15 @@
 	if err := proto.Unmarshal(b, state); err != nil {
 		return &Error{Op: "restore", Kind: KindState, Err: eris.Wrap(err, "the snapshot cannot be read")}
 	}
+	inForce := &wire.Configuration{}
+	if n := len(state.GetChanges()); n > 0 {
+		var err error
+		if inForce, err = decode(state.Changes[n-1].GetContent()); err != nil {
+			return err
+		}
+	}
 	m.state = state
+	m.inForce = inForce
 	return nil
 }
 
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
 )
@@ -247,8 +248,14 @@
 	is.True(publish("c", 1).GetAccepted())
 	is.Equal(publish("a", 0).GetVersion(), uint64(1))
 	for n := range maxContents {
-		is.True(publish(fmt.Sprint("n", n), m.configuration().GetVersion()).GetAccepted())
+		is.True(publish(fmt.Sprint("n", n), m.latest().GetVersion()).GetAccepted())
 	}
-	is.True(m.since(1, 1)[0].GetDropped())
+	oldest, err := reveal(m.since(1, 1))
+	is.NoErr(err)
+	is.True(oldest[0].GetDropped())
 	is.Equal(publish("a", 0).GetVersion(), uint64(1)) // still known by its id
+	again := newMachine()
+	is.NoErr(again.Restore(m.Snapshot()))
+	is.Equal(again.Snapshot(), m.Snapshot())
+	is.True(proto.Equal(again.inForce, m.inForce))
 }
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"runtime/debug"
 
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
@@ -17,7 +18,12 @@
 	return process.Daemon("control", "Runs one host of the control group.", args, w, serve)
 }
 
+// collectorPercent makes the collector run twice as often as by default: a
+// control host has little to do and little memory to do it in.
+const collectorPercent = 50
+
 func serve(ctx context.Context, file string, log *slog.Logger) error {
+	debug.SetGCPercent(collectorPercent)
 	cfg := &wire.ControlSettings{}
 	if err := settings.Load(file, cfg); err != nil {
 		return err
--- a/lib/control/operator.go
+++ b/lib/control/operator.go
@@ -48,9 +48,9 @@
 
 // History implements wire.Control.
 func (c *Control) History(ctx context.Context, q *wire.HistoryRequest) (*wire.HistoryReply, error) {
-	reply := &wire.HistoryReply{}
+	var kept []*wire.KeptChange
 	err := c.read(ctx, func(s *state, _ time.Time) {
-		reply.Changes = s.machine.since(q.GetSince(), int(q.GetLimit()))
+		kept = s.machine.since(q.GetSince(), int(q.GetLimit()))
 	})
 	if address := c.leaderAddress(err); address != "" {
 		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.HistoryReply, error) {
@@ -60,7 +60,11 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return reply, nil
+	changes, err := reveal(kept)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &wire.HistoryReply{Changes: changes}, nil
 }
 
 // Status implements wire.Control. A host that cannot ask the leader tells what
