--- /dev/null
+++ b/lib/control/plan_bench_test.go
@@ -0,0 +1,37 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"skylarklane.example/lib/wire"
+)
+
+// BenchmarkDecisions looks for decisions where there are none: 1,100 agents
+// and 1,024 shards at rest.
+func BenchmarkDecisions(b *testing.B) {
+	s := &state{machine: newMachine(), leases: newLeases(time.Hour)}
+	now := time.Now()
+	index := uint64(0)
+	apply := func(commands []*wire.Command) {
+		for _, command := range commands {
+			index++
+			s.machine.apply(index, command)
+		}
+	}
+	for n := range 1100 {
+		member := agent(n, 1)
+		apply([]*wire.Command{joinCommand(member)})
+		s.leases.renew(member.GetIncarnation(), 0, now)
+	}
+	for {
+		commands := s.decisions(&wire.Limits{}, 1024, now)
+		if len(commands) == 0 {
+			break
+		}
+		apply(commands)
+	}
+	for b.Loop() {
+		s.decisions(&wire.Limits{}, 1024, now)
+	}
+}
