status: say what the control hosts are, and when nothing is current

A host that can reach no leader answers with what it has; the command printed that like any other. It now says NOT CURRENT, and lists the control hosts with vote, last answer and lag.

--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -34,6 +34,20 @@
 	Leader      string `json:"leader"`
 	Term        uint64 `json:"term"`
 	CommitIndex uint64 `json:"commitIndex"`
+	// Current is unset where no leader could be asked: all of this may be old.
+	Current bool         `json:"current"`
+	Hosts   []hostStatus `json:"hosts"`
+}
+
+// hostStatus is the state of one control host as the leader knows it.
+type hostStatus struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	// Reached hosts have answered the leader lately.
+	Reached bool `json:"reached"`
+	// Behind is how many committed entries the host is not known to have.
+	Behind uint64 `json:"behind"`
 }
 
 // memberStatus is the state of one entry or agent.
@@ -62,7 +76,20 @@
 	title := fmt.Sprintf("control host %s, leader %s, term %d, commit index %d\nconfiguration version %d, directory version %d, services %v\n%d shards, %d of them with fewer than two members; %d members declared dead",
 		s.Control.ID, orDash(s.Control.Leader), s.Control.Term, s.Control.CommitIndex,
 		s.ConfigVersion, s.DirectoryVersion, s.Services, s.Shards, s.ThinShards, s.DeadMembers)
-	return c.print(e, s, table{title: title}, membersTable(s.Members))
+	if !s.Control.Current {
+		title = "NOT CURRENT: no leader could be asked, this may be old\n" + title
+	}
+	return c.print(e, s, table{title: title}, hostsTable(s.Control.Hosts), membersTable(s.Members))
+}
+
+func hostsTable(hosts []hostStatus) table {
+	t := table{header: []string{"CONTROL HOST", "ADDRESS", "VOTER", "REACHED", "BEHIND"}}
+	for _, h := range hosts {
+		t.rows = append(t.rows, []string{
+			h.ID, orDash(h.Address), strconv.FormatBool(h.Voter), strconv.FormatBool(h.Reached), strconv.FormatUint(h.Behind, 10),
+		})
+	}
+	return t
 }
 
 // askStatus asks a control host for the state of the system.
@@ -79,6 +106,7 @@
 	s := systemStatus{
 		Control: controlStatus{
 			ID: reply.GetId(), Leader: reply.GetLeader(), Term: reply.GetTerm(), CommitIndex: reply.GetCommitIndex(),
+			Current: reply.GetCurrent(), Hosts: []hostStatus{},
 		},
 		ConfigVersion:    directory.GetConfigVersion(),
 		DirectoryVersion: directory.GetVersion(),
@@ -87,6 +115,12 @@
 		Shards:           len(directory.GetViews()),
 		DeadMembers:      len(directory.GetDead()),
 	}
+	for _, host := range reply.GetHosts() {
+		s.Control.Hosts = append(s.Control.Hosts, hostStatus{
+			ID: host.GetId(), Address: host.GetAddress(), Voter: host.GetVoter(), Reached: host.GetReached(),
+			Behind: reply.GetCommitIndex() - min(reply.GetCommitIndex(), host.GetMatchIndex()),
+		})
+	}
 	for _, service := range directory.GetServices() {
 		s.Services = append(s.Services, service.GetName())
 	}
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -316,6 +316,31 @@
 	is.Equal(code, 3)
 }
 
+// TestStatusOfHosts asks a host that does not lead, before and after the
+// others are gone.
+func TestStatusOfHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newGroup(t, 3)
+	s.awaitVoters()
+	follower := s.without(s.leader())[0]
+	code, output := command(t, "status", "--control", follower.link.address())
+	is.Equal(code, 0)
+	is.True(strings.Contains(output, "CONTROL HOST"))
+	is.True(!strings.Contains(output, "NOT CURRENT"))
+	for _, c := range s.without(follower) {
+		c.kill()
+	}
+	eventually(t, "the last host says that it is not current", func() bool {
+		_, output := command(t, "status", "--control", follower.link.address())
+		return strings.Contains(output, "NOT CURRENT")
+	})
+	eventually(t, "the last host is not ready", func() bool {
+		return statusOf(follower.link.address(), "/readyz") == http.StatusServiceUnavailable
+	})
+	is.Equal(statusOf(follower.link.address(), "/healthz"), http.StatusOK)
+}
+
 // currentVersions reads the versions that a host serves as current, in order,
 // until ctx ends.
 type currentVersions struct {
