Hosts of the control group can be added and removed

skylarklane hosts add|remove, over the log's one change at a time; lib/process asks for the operator token for it too (one line).

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -22,6 +22,7 @@
 	Check   cmdCheck   `cmd:"" help:"Check settings and service files."`
 	Publish cmdPublish `cmd:"" help:"Put the service files below a folder into force."`
 	Config  cmdConfig  `cmd:"" help:"Show accepted changes of the configuration."`
+	Hosts   cmdHosts   `cmd:"" help:"Add a host to the control group, or remove one."`
 	Status  cmdStatus  `cmd:"" help:"Show the state of the system."`
 	Workers cmdWorkers `cmd:"" help:"Show the workers and their backend servers."`
 	Submit  cmdSubmit  `cmd:"" help:"Submit a job and print its answer."`
--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -160,7 +160,7 @@
 			return peer.GetAddress()
 		}
 	}
-	return ""
+	return e.Address
 }
 
 func (c *Control) lease() time.Duration {
--- a/lib/control/operator.go
+++ b/lib/control/operator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -111,6 +113,41 @@
 	}
 }
 
+// ChangeHost implements wire.Control.
+func (c *Control) ChangeHost(ctx context.Context, q *wire.ChangeHostRequest) (*wire.ChangeHostReply, error) {
+	if q.GetId() == "" {
+		return nil, twirp.RequiredArgumentError("id")
+	}
+	if _, err := netip.ParseAddrPort(q.GetAddress()); err != nil && !q.GetRemove() {
+		return nil, twirp.InvalidArgumentError("address", "must be an IP number and a port")
+	}
+	err := c.changeHost(ctx, q)
+	if address := c.leaderAddress(err); address != "" {
+		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.ChangeHostReply, error) {
+			return leader.ChangeHost(ctx, q)
+		})
+	}
+	var e *quorum.Error
+	switch {
+	case err == nil:
+		c.log.Warn("The control group changes.", "host", q.GetId(), "remove", q.GetRemove())
+		return &wire.ChangeHostReply{Changed: true}, nil
+	case errors.As(err, &e) && (e.Kind == quorum.KindBusy || e.Kind == quorum.KindMember):
+		return &wire.ChangeHostReply{Detail: err.Error()}, nil
+	default:
+		return nil, unavailable(err)
+	}
+}
+
+func (c *Control) changeHost(ctx context.Context, q *wire.ChangeHostRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if q.GetRemove() {
+		return c.node.Remove(ctx, q.GetId())
+	}
+	return c.node.Admit(ctx, &wire.LogHost{Id: q.GetId(), Address: q.GetAddress()})
+}
+
 func (c *Control) refused(reason string) {
 	c.scope.Tagged(map[string]string{"reason": reason}).Counter("publish_refused").Inc(1)
 }
--- a/lib/process/security.go
+++ b/lib/process/security.go
@@ -25,6 +25,7 @@
 	internalPrefix + "skylarklane.v1.Control/Publish",
 	internalPrefix + "skylarklane.v1.Control/History",
 	internalPrefix + "skylarklane.v1.Control/Status",
+	internalPrefix + "skylarklane.v1.Control/ChangeHost",
 }
 
 // Security guards the connections of one process. Its zero value guards none.
--- a/lib/quorum/error.go
+++ b/lib/quorum/error.go
@@ -24,6 +24,8 @@
 	KindForeign
 	// KindBusy means that a change of the membership is under way.
 	KindBusy
+	// KindMember means that a host to add is there, or one to remove is not.
+	KindMember
 )
 
 // Error is an error of this package.
@@ -31,7 +33,9 @@
 	Op     string
 	Kind   Kind
 	Leader string
-	Err    error
+	// Address of that leader in the group's membership.
+	Address string
+	Err     error
 }
 
 // Error implements error.
--- a/lib/quorum/member.go
+++ b/lib/quorum/member.go
@@ -22,7 +22,7 @@
 		return &Error{Op: "change the group", Kind: KindBusy, Err: eris.New("another change is under way")}
 	}
 	if !hostOf(group, n.cfg.ID, n.store.identity.GetFolder()).GetVoter() {
-		return &Error{Op: "change the group", Kind: KindBusy, Err: eris.New("the leader cannot take its own vote")}
+		return &Error{Op: "change the group", Kind: KindBusy, Err: eris.New("the leader cannot take its own vote; stop it, so that another leads, and try again")}
 	}
 	n.appendOwn(&wire.LogEntry{Group: group}, p)
 	for _, host := range group.GetHosts() {
--- a/lib/quorum/quorum.go
+++ b/lib/quorum/quorum.go
@@ -180,19 +180,28 @@
 }
 
 // Admit adds a host to the group, first without a vote. It gets one when it
-// has caught up. Errors are as for Propose, and KindBusy.
+// has caught up. Errors are as for Propose, KindBusy, and KindMember where the
+// group has a host of that id.
 func (n *Node) Admit(ctx context.Context, host *wire.LogHost) error {
-	return n.changeGroup(ctx, func(g *wire.LogGroup) *wire.LogGroup { return withHost(g, host.GetId(), host.GetAddress(), 0) })
+	return n.changeGroup(ctx, host.GetId(), false, func(g *wire.LogGroup) *wire.LogGroup {
+		return withHost(g, host.GetId(), host.GetAddress(), 0)
+	})
 }
 
-// Remove takes a host out of the group.
+// Remove takes a host out of the group. The leader cannot remove itself.
+// Errors are as for Propose, KindBusy, and KindMember where there is none.
 func (n *Node) Remove(ctx context.Context, id string) error {
-	return n.changeGroup(ctx, func(g *wire.LogGroup) *wire.LogGroup { return withoutHost(g, id) })
+	return n.changeGroup(ctx, id, true, func(g *wire.LogGroup) *wire.LogGroup { return withoutHost(g, id) })
 }
 
-func (n *Node) changeGroup(ctx context.Context, change func(*wire.LogGroup) *wire.LogGroup) error {
+func (n *Node) changeGroup(ctx context.Context, id string, member bool, change func(*wire.LogGroup) *wire.LogGroup) error {
 	p := &proposal{done: make(chan outcome, 1)}
-	err := n.do(ctx, func() error { return n.proposeGroup(change(n.group), p) })
+	err := n.do(ctx, func() error {
+		if isMember := len(withoutHost(n.group, id).GetHosts()) < len(n.group.GetHosts()); isMember != member {
+			return n.membershipError(id, isMember)
+		}
+		return n.proposeGroup(change(n.group), p)
+	})
 	if err != nil {
 		return err
 	}
@@ -200,6 +209,17 @@
 	return err
 }
 
+func (n *Node) membershipError(id string, isMember bool) error {
+	if !n.current(time.Now()) {
+		return n.notLeader("change the group")
+	}
+	text := "the group has no host %s"
+	if isMember {
+		text = "the group has a host %s already"
+	}
+	return &Error{Op: "change the group", Kind: KindMember, Err: eris.Errorf(text, id)}
+}
+
 // loop owns the state. What a round of events changes is synced once, and only
 // then told to anyone.
 func (n *Node) loop(ctx context.Context) error {
@@ -287,5 +307,11 @@
 func (n *Node) output(f func()) { n.outputs = append(n.outputs, f) }
 
 func (n *Node) notLeader(op string) *Error {
-	return &Error{Op: op, Kind: KindNotLeader, Leader: n.leader, Err: eris.New("this host is not the leader or cannot reach a quorum")}
+	address := ""
+	for _, host := range n.group.GetHosts() {
+		if host.GetId() == n.leader {
+			address = host.GetAddress()
+		}
+	}
+	return &Error{Op: op, Kind: KindNotLeader, Leader: n.leader, Address: address, Err: eris.New("this host is not the leader or cannot reach a quorum")}
 }
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -316,6 +316,39 @@
 	is.Equal(code, 3)
 }
 
+// TestHostsMove adds a host of a new id and removes an old one, as a machine
+// is retired.
+func TestHostsMove(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newGroup(t, 3)
+	s.accept(s.controls, 0, 3)
+	old := s.without(s.leader())[0]
+	added := &node{t: t, part: "control", id: "control4", link: newLink(t, "control4")}
+	added.settings = fmt.Sprintf("id: control4\nlisten: 127.0.0.1:0\ndataFolder: %s\nshards: 16\nleaseMillis: %d\nretentionMillis: 600000\npeers:\n",
+		t.TempDir(), leaseMillis)
+	for _, c := range append([]*node{added}, s.controls...) {
+		added.settings += fmt.Sprintf("  - id: %s\n    address: %s\n", c.id, c.link.address())
+	}
+	added.start()
+	code, output := command(t, "hosts", "add", "control4", added.link.address(), "--control", old.link.address())
+	is.Equal(output, "the control group is changed; see skylarklane status\n")
+	is.Equal(code, 0)
+	s.controls = append(s.controls, added)
+	s.awaitVoters()
+	code, _ = command(t, "hosts", "remove", old.id, "--control", old.link.address())
+	is.Equal(code, 0)
+	is.Equal(old.wait(), 1) // it learns that the group goes on without it
+	s.controls = s.without(old)
+	s.awaitVoters()
+	code, output = command(t, "hosts", "remove", old.id, "--control", added.link.address())
+	is.Equal(code, 3)
+	is.True(strings.Contains(output, "the group has no host "+old.id))
+	s.leader().kill()
+	s.accept(s.controls, 3, 3)
+	s.checkHistory(6)
+}
+
 // TestStatusOfHosts asks a host that does not lead, before and after the
 // others are gone.
 func TestStatusOfHosts(t *testing.T) {
