--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -139,6 +139,24 @@
 	g.is.Equal(now.GetLostAtMillis(), int64(0))
 }
 
+// TestNewLeader requires that a new leader, which has heard from nobody yet,
+// declares nobody dead before a full lease is over.
+func TestNewLeader(t *testing.T) {
+	g := newGroup(t)
+	g.lead(1, g.now)
+	g.join(agent(1, 1))
+	g.join(agent(2, 1))
+	g.settle()
+	g.now = g.now.Add(time.Hour)
+	g.lead(2, g.now)
+	for range 3 {
+		g.is.Equal(len(g.decisions(&wire.Limits{}, testShards, g.now)), 0)
+		g.now = g.now.Add(400 * time.Millisecond)
+		g.join(agent(2, 1)) // one of them is heard, the other is not
+	}
+	g.is.Equal(g.decisions(&wire.Limits{}, testShards, g.now)[0].GetDeclare().GetDead()[0].GetId(), "worker01")
+}
+
 func TestNewIncarnationRetiresOld(t *testing.T) {
 	g := newGroup(t)
 	g.join(agent(1, 1))
--- a/test/control_test.go
+++ b/test/control_test.go
@@ -524,6 +524,26 @@
 	s.checkHistory(301)
 }
 
+// TestMembersCutOff cuts an entry off from the control group: once its lease
+// is over it takes no new work, and says so truly.
+func TestMembersCutOff(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, size{controls: 1, entries: 1, agents: 1})
+	defer s.supervise()()
+	control := s.controls[0]
+	control.link.silence(requests)
+	eventually(t, "the entry is not ready", func() bool {
+		return statusOf(s.entries[0].link.address(), "/readyz") == http.StatusServiceUnavailable
+	})
+	refused := s.send(0, newJob("while-cut-off", "finCheck", 4, 1))
+	is.New(t).True(refused.outcome != outcomeComplete)
+	is.New(t).Equal(len(s.startsOf("while-cut-off")), 0)
+	control.link.heal()
+	s.awaitReady(s.entries[0])
+	s.awaitJob(0)
+	s.judge()
+}
+
 // TestFlippedBit damages one bit of each file of a control host: it must say
 // so and stop, and the others go on.
 func TestFlippedBit(t *testing.T) {
