--- /dev/null
+++ b/lib/quorum/load.go
@@ -0,0 +1,75 @@
+package quorum
+
+import (
+	"errors"
+
+	"google.golang.org/protobuf/proto"
+
+	"skylarklane.example/lib/wire"
+)
+
+// load reads a folder that belongs to a group, and writes it anew: what an
+// earlier process could not sync may be in the system's cache alone.
+func (s *store) load() error {
+	for _, file := range []struct {
+		name    string
+		message proto.Message
+	}{{voteFile, s.vote}, {snapshotFile, s.snapshot}} {
+		found, err := s.readMessage(file.name, file.message)
+		if err != nil {
+			return err
+		}
+		if !found {
+			return corrupt(file.name, "the file is missing")
+		}
+		if err := s.writeMessage(file.name, file.message); err != nil {
+			return err
+		}
+	}
+	b, err := s.folder.Read(logFile)
+	if err != nil {
+		return corrupt(logFile, "the file cannot be read: %v", err)
+	}
+	if err := s.readLog(b); err != nil {
+		return err
+	}
+	return s.rewriteLog()
+}
+
+// readLog takes in the frames of a log file. A torn last frame is dropped: it
+// was never synced.
+func (s *store) readLog(b []byte) error {
+	var last uint64
+	conflict := false
+	for offset := 0; offset < len(b); {
+		payload, next, err := readFrame(b, offset)
+		if errors.Is(err, errTorn) {
+			return nil
+		}
+		if err != nil {
+			return corrupt(logFile, "at byte %d: %v", offset, err)
+		}
+		e := &wire.LogEntry{}
+		if err := proto.Unmarshal(payload, e); err != nil {
+			return corrupt(logFile, "at byte %d: %v", offset, err)
+		}
+		if e.GetIndex() == 0 || last != 0 && e.GetIndex() > last+1 {
+			return corrupt(logFile, "at byte %d: index %d follows index %d", offset, e.GetIndex(), last)
+		}
+		last = e.GetIndex()
+		offset = next
+		if last <= s.snapshot.GetIndex() {
+			s.entries = nil
+			conflict = last == s.snapshot.GetIndex() && e.GetTerm() != s.snapshot.GetTerm()
+			continue
+		}
+		if conflict {
+			continue
+		}
+		if last > s.lastIndex()+1 || e.GetTerm() < s.termAt(last-1) {
+			return corrupt(logFile, "index %d of term %d follows index %d of term %d", last, e.GetTerm(), s.lastIndex(), s.lastTerm())
+		}
+		s.place(e)
+	}
+	return nil
+}
