--- a/lib/control/operator.go
+++ b/lib/control/operator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -48,9 +50,9 @@
 
 // History implements wire.Control.
 func (c *Control) History(ctx context.Context, q *wire.HistoryRequest) (*wire.HistoryReply, error) {
-	reply := &wire.HistoryReply{}
+	var kept []*wire.KeptChange
 	err := c.read(ctx, func(s *state, _ time.Time) {
-		reply.Changes = s.machine.since(q.GetSince(), int(q.GetLimit()))
+		kept = s.machine.since(q.GetSince(), int(q.GetLimit()))
 	})
 	if address := c.leaderAddress(err); address != "" {
 		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.HistoryReply, error) {
@@ -60,7 +62,11 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return reply, nil
+	changes, err := reveal(kept)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &wire.HistoryReply{Changes: changes}, nil
 }
 
 // Status implements wire.Control. A host that cannot ask the leader tells what
@@ -102,11 +108,46 @@
 			reply.LeaderAddress = host.Address
 		}
 		reply.Hosts = append(reply.Hosts, &wire.HostStatus{
-			Id: host.ID, Address: host.Address, Voter: host.Voter, MatchIndex: host.Match,
+			Id: host.ID, Address: host.Address, Voter: host.Voter, MatchIndex: host.Match, Reached: host.Reached,
 		})
 	}
 }
 
+// ChangeHost implements wire.Control.
+func (c *Control) ChangeHost(ctx context.Context, q *wire.ChangeHostRequest) (*wire.ChangeHostReply, error) {
+	if q.GetId() == "" {
+		return nil, twirp.RequiredArgumentError("id")
+	}
+	if _, err := netip.ParseAddrPort(q.GetAddress()); err != nil && !q.GetRemove() {
+		return nil, twirp.InvalidArgumentError("address", "must be an IP number and a port")
+	}
+	err := c.changeHost(ctx, q)
+	if address := c.leaderAddress(err); address != "" {
+		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.ChangeHostReply, error) {
+			return leader.ChangeHost(ctx, q)
+		})
+	}
+	var e *quorum.Error
+	switch {
+	case err == nil:
+		c.log.Warn("The control group changes.", "host", q.GetId(), "remove", q.GetRemove())
+		return &wire.ChangeHostReply{Changed: true}, nil
+	case errors.As(err, &e) && (e.Kind == quorum.KindBusy || e.Kind == quorum.KindMember):
+		return &wire.ChangeHostReply{Detail: err.Error()}, nil
+	default:
+		return nil, unavailable(err)
+	}
+}
+
+func (c *Control) changeHost(ctx context.Context, q *wire.ChangeHostRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if q.GetRemove() {
+		return c.node.Remove(ctx, q.GetId())
+	}
+	return c.node.Admit(ctx, &wire.LogHost{Id: q.GetId(), Address: q.GetAddress()})
+}
+
 func (c *Control) refused(reason string) {
 	c.scope.Tagged(map[string]string{"reason": reason}).Counter("publish_refused").Inc(1)
 }
