--- a/lib/ledger/write.go
+++ b/lib/ledger/write.go
@@ -144,16 +144,17 @@
 
 // mayFinish tells whether the outcome of a key without a record is to be
 // believed: a failure always is; a refusal where the key can't have been known
-// before; a completion from a job that was held before its shard was lost.
+// before. Where the shard was lost, the entry must have held the key before,
+// and not be dead: else another may have taken the job over and told of it.
 func (r *Replica) mayFinish(q *wire.FinishRequest, s *shard, next *record, now time.Time) bool {
-	switch q.GetOutcome().GetKind() {
-	case wire.OutcomeKind_OUTCOME_KIND_FAILED:
+	lost := mayBeLost(next.submittedAt, s.lostAt, r.retention(), now)
+	switch kind := q.GetOutcome().GetKind(); {
+	case kind == wire.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+		return !lost && !mayBeForgotten(next.submittedAt, r.retention(), now)
+	case kind == wire.OutcomeKind_OUTCOME_KIND_FAILED && !lost:
 		return true
-	case wire.OutcomeKind_OUTCOME_KIND_NOT_RUN:
-		return !mayBeForgotten(next.submittedAt, r.retention(), now) &&
-			!mayBeLost(next.submittedAt, s.lostAt, r.retention(), now)
 	default:
-		return next.heldAt != 0 && s.lostAt != 0
+		return s.lostAt != 0 && next.heldAt != 0 && !r.book.isDead(r.directory.Directory(), q.GetHolder())
 	}
 }
 
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -28,13 +28,21 @@
 #ifndef JOIN
 #define JOIN 0              /* agent 2 may join the system, and run tasks */
 #endif
-/* QUICK: a held job starts and ends in one step, without an agent. */
+/*
+ * QUICK is for views: a held job starts and ends in one step, is not
+ * idempotent and is not given back, and agent 2 hears of each view at once.
+ */
 #ifndef AGAIN
 #define AGAIN 0             /* an entry may get another copy after notRun */
 #endif
 
 #define VIEWS     4
 #define CLAIMS    3
+#ifdef QUICK
+#define ANEW      1
+#else
+#define ANEW      2
+#endif
 #define BIT(n)    (1 << (n))
 #define HAS(m, n) (((m) >> (n)) & 1)
 
@@ -45,6 +53,7 @@
 #define Failed   3
 #define Refused  4
 #define Released 5
+#define Unknown  6          /* Failed with reason unknownOutcome */
 
 /* Requests to a primary. */
 #define Hold           1
@@ -103,6 +112,7 @@
 byte again[2];              /* how often another copy of the submission came */
 byte late[2], lateClaim[2], lateCopy[2]; /* an older copy of a request, still in flight */
 bool spent;
+bool granted[2];            /* the hold of the present job was acknowledged */
 byte from[2];               /* the copy of the submission that the entry runs */
 byte starts_to[2];          /* mask of agents with a start in flight */
 byte at[2];                 /* agent of the start in question */
@@ -150,6 +160,13 @@
 #define MAY_HOLD(a, e, c) (state[a] == None || (state[a] == Released && (holder[a] != e || c > claim[a])) || (state[a] == Held && holder[a] == e && c > claim[a] && !former[a]))
 #endif
 
+/* The job was held before the shard was lost, and was not taken over since. */
+#ifdef LOST_HOLDER
+#define HELD_BEFORE(a, e) (state[a] == None && lostAt[seen[a]] && granted[e])
+#else
+#define HELD_BEFORE(a, e) (state[a] == None && lostAt[seen[a]] && granted[e] && !(e == 0 && dead))
+#endif
+
 inline ask(e, kind) {
 	phase[e] = Asking; asked[e] = kind; sent[e] = kind; at[e] = 0
 }
@@ -157,22 +174,23 @@
 /* anew holds the key under a new claim; how often is bounded. */
 inline anew(e) {
 	if
-	:: mine[e] < 2 -> mine[e]++; ask(e, Hold)
+	:: mine[e] < ANEW -> mine[e]++; ask(e, Hold)
 	:: else -> phase[e] = Told; asked[e] = 0; sent[e] = 0; at[e] = 0
 	fi
 }
 
 inline tell(e, outcome) {
-	phase[e] = Told; asked[e] = 0; sent[e] = 0; at[e] = 0;
+	phase[e] = Told; granted[e] = false; asked[e] = 0; sent[e] = 0; at[e] = 0;
 	if
 	:: outcome == Refused || outcome == Released ->
 		notRun = notRun | BIT(COPY(e));
 		/* notRun implies no start, before and (Agent) after */
 		assert(!HAS(startedFrom, COPY(e)));
 		assert(idempotent || starts == 0)
+	:: outcome == Unknown -> skip
 	:: else ->
 		told[e] = outcome;
-		/* complete or failed, and all answers to the key agree */
+		/* complete or failed, and all answers to the key agree; unknownOutcome says nothing */
 		assert(outcome == Complete || outcome == Failed);
 		assert(told[1 - e] == None || told[1 - e] == outcome);
 		assert(outcome == Failed || starts == 1)
@@ -186,18 +204,24 @@
 	:: kind == Hold && MAY_HOLD(a, e, c) ->
 		state[a] = Held; holder[a] = e; claim[a] = c; former[a] = false; origin[a] = copy;
 #ifndef NO_LOST_AT
-		if :: lostAt[seen[a]] -> state[a] = Failed :: else fi
+		if :: lostAt[seen[a]] -> state[a] = Unknown :: else fi
 #endif
 	:: kind == Takeover && state[a] == Held && holder[a] == 0 && e == 1 && dead ->
 		holder[a] = 1; claim[a] = c; former[a] = true
-	:: kind == FinishComplete && (HELD_BY(a, e, c) || (state[a] == None && lostAt[seen[a]])) ->
+	:: kind == FinishComplete && (HELD_BY(a, e, c) || HELD_BEFORE(a, e)) ->
 		state[a] = Complete; holder[a] = e; claim[a] = c
+	:: kind == FinishComplete && !HELD_BY(a, e, c) && !HELD_BEFORE(a, e) && state[a] == None && lostAt[seen[a]] ->
+		state[a] = Unknown; holder[a] = e; claim[a] = c
 	:: kind == FinishFailed && (HELD_BY(a, e, c) || MAY_HOLD(a, e, c)) ->
-		state[a] = Failed; holder[a] = e; claim[a] = c
+		if
+		:: !HELD_BY(a, e, c) && !HELD_BEFORE(a, e) && lostAt[seen[a]] -> state[a] = Unknown
+		:: else -> state[a] = Failed
+		fi;
+		holder[a] = e; claim[a] = c
 	:: kind == FinishNotRun && (HELD_BY(a, e, c) || MAY_HOLD(a, e, c)) ->
 		if
 #ifndef NO_LOST_AT
-		:: !HELD_BY(a, e, c) && lostAt[seen[a]] -> state[a] = Failed
+		:: !HELD_BY(a, e, c) && lostAt[seen[a]] -> state[a] = Unknown
 		:: HELD_BY(a, e, c) || !lostAt[seen[a]] ->
 #else
 		:: true ->
@@ -229,7 +253,7 @@
 /* reply brings the record to the entry that asked. */
 inline reply(e, kind, s, h, c, o) {
 	if
-	:: s == Complete || s == Failed || s == Refused -> tell(e, s)
+	:: s == Complete || s == Failed || s == Refused || s == Unknown -> tell(e, s)
 	:: s == Released && kind == FinishNotRun -> tell(e, Released)
 	:: (s == None || s == Released) && kind != FinishNotRun ->
 		assert(kind != FinishComplete && kind != FinishFailed);
@@ -237,11 +261,11 @@
 	:: s == Held && (h != e || c != mine[e]) && !(h == e) -> asked[e] = 0; sent[e] = 0; phase[e] = Waiting
 	:: s == Held && h == e && c != mine[e] -> anew(e)
 	:: s == Held && h == e && c == mine[e] && kind == Takeover ->
-		asked[e] = 0; sent[e] = 0; phase[e] = Fencing; from[e] = o;
+		asked[e] = 0; sent[e] = 0; phase[e] = Fencing; from[e] = o; granted[e] = true;
 		/* every agent that was a member during the lost entry's time */
 		fenceList = BIT(1) | ((JOIN && joined) << 2)
 	:: s == Held && h == e && c == mine[e] && kind != Takeover ->
-		asked[e] = 0; sent[e] = 0; phase[e] = Holding; from[e] = o
+		asked[e] = 0; sent[e] = 0; phase[e] = Holding; from[e] = o; granted[e] = true
 	fi
 }
 
@@ -250,7 +274,7 @@
 	if
 	:: LEFT(a) == 0 ->
 		/* a refusal is true of all copies when it is recorded */
-		assert(!(opKind[a] == FinishNotRun && opChanged[a] && opState[a] != Failed && starts > 0));
+		assert(!(opKind[a] == FinishNotRun && opChanged[a] && opState[a] != Unknown && starts > 0));
 		if
 		:: !opDeaf[a] && losses < LOSSES -> losses++
 		:: !opDeaf[a] -> reply(opEntry[a], opKind[a], opState[a], opHolder[a], opHolderClaim[a], opOrigin[a])
@@ -365,6 +389,9 @@
 #ifdef UNPROVED_START
 		skip
 #else
+#ifdef QUICK
+		fenced[a] = true;
+#endif
 		unproved = true
 #endif
 	:: else ->
@@ -403,15 +430,15 @@
 		ask(1, Takeover) }
 	/* the key is held: start, or give it back */
 #ifdef QUICK
-	:: atomic { phase[e] == Holding ->
+	:: atomic { phase[e] == Holding && !(e == 0 && fenced[1]) ->
 		starts++; startedFrom = startedFrom | BIT(from[e]);
 		assert(starts <= 1 && !HAS(notRun, from[e]) && (idempotent || notRun == 0));
 		ask(e, FinishComplete) }
 #else
 	:: atomic { phase[e] == Holding && !agentDead[1] && task[1] != Barred && !HAS(starts_to[e], 1) -> starts_to[e] = starts_to[e] | BIT(1); at[e] = 1; phase[e] = Started }
 	:: atomic { phase[e] == Holding && JOIN && joined && task[2] != Barred && !HAS(starts_to[e], 2) -> starts_to[e] = starts_to[e] | BIT(2); at[e] = 2; phase[e] = Started }
-#endif
 	:: atomic { e == 0 && phase[0] == Holding -> ask(0, FinishNotRun) }
+#endif
 	/* the start's answer is recorded before it is told */
 	:: atomic { phase[e] == Started && !HAS(starts_to[e], at[e]) && task[at[e]] == Done && !agentDead[at[e]] ->
 #ifdef ANSWER_FIRST
@@ -437,9 +464,15 @@
 	:: atomic { e == 1 && phase[1] == Fencing && fenceAcked == fenceList ->
 		fenceAcked = 0; fenceList = 0;
 		if
+#ifdef QUICK
+		:: starts > 0 -> ask(1, FinishFailed)
+		:: starts == 0 && unproved -> ask(1, FinishFailed)
+		:: starts == 0 && !unproved -> phase[1] = Holding
+#else
 		:: at[1] != 0 -> phase[1] = Started
 		:: at[1] == 0 && unproved -> ask(1, FinishFailed)
 		:: at[1] == 0 && !unproved -> phase[1] = Holding
+#endif
 		fi;
 		unproved = false }
 	od
@@ -450,6 +483,9 @@
 inline drop(m) {
 	epoch++;
 	lostAt[epoch] = lostAt[epoch - 1];
+#ifdef QUICK
+	seen[2] = epoch;
+#endif
 #ifdef NO_SHARED_MEMBER
 	members[epoch] = BIT(2); primary[epoch] = 2
 #else
@@ -484,6 +520,9 @@
 	/* Copied: the joining member is complete, and may lead */
 	:: atomic { epoch == 1 && epoch < EPOCHS - 1 && joining[1] == BIT(2) && copied ->
 		epoch = 2; members[2] = members[1] | BIT(2);
+#ifdef QUICK
+		seen[2] = epoch;
+#endif
 		if :: primary[2] = primary[1] :: primary[2] = 2 fi }
 	/* all members are lost: restart after the end of their leases */
 	:: atomic { joined && epoch < EPOCHS - 1 && !lostAt[epoch] && (members[epoch] & ~((agentDead[0] << 0) | (agentDead[1] << 1))) == 0 ->
@@ -494,7 +533,11 @@
 init {
 	atomic {
 		joined = !JOIN;
+#ifdef QUICK
+		idempotent = false;
+#else
 		if :: idempotent = true :: idempotent = false fi;
+#endif
 		members[0] = BIT(0) | BIT(1);
 		mine[0] = 1; mine[1] = 1;
 		run Agent(0); run Agent(1); run Agent(2); run Joiner();
