--- a/lib/ledger/write.go
+++ b/lib/ledger/write.go
@@ -73,6 +73,9 @@
 		if !old.mayHold(q.GetHolder(), q.GetClaim(), q.GetIdempotent()) {
 			return nil, wire.LedgerError_LEDGER_ERROR_NONE
 		}
+		if r.book.isDead(r.directory.Directory(), q.GetHolder()) {
+			return nil, r.refuse("holderDead", wire.LedgerError_LEDGER_ERROR_NOT_HOLDER)
+		}
 		now := time.Now()
 		stamp := Stamp(q.GetKey(), q.GetSubmittedAtMillis())
 		if mayBeForgotten(stamp, r.retention(), now) {
