--- a/lib/entry/dispatcher_test.go
+++ b/lib/entry/dispatcher_test.go
@@ -279,3 +279,19 @@
 	is.Equal(d.Run(t.Context(), jobOf("job", "finCheck", 1)).GetKind(), complete)
 	is.Equal(d.status().Services[0].TokensIdle, 1)
 }
+
+func TestTeamsThatNobodyNamedAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d, m := newTestDispatcher(t, startAgent(t, "worker1", 1, done))
+	m.directory.Teams = []*wire.Team{{Name: "suva"}}
+	for _, name := range []string{"suva", "stranger"} {
+		job := jobOf("job", "finCheck", 1)
+		job.Spec.Team = name
+		is.Equal(d.Run(t.Context(), job).GetKind(), complete)
+	}
+	keep := &keeper{d: d}
+	keep.due(time.Now())
+	teams := d.status().Teams
+	is.Equal(len(teams), 1)
+	is.Equal(teams[0].Team, "suva")
+}
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -59,6 +59,7 @@
 		k.pool.sweep(now)
 		p.d.dispatch(k)
 	}
+	p.d.sweepTeams()
 	return calls
 }
 
--- a/lib/entry/team.go
+++ b/lib/entry/team.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"skylarklane.example/lib/quota"
@@ -13,16 +14,21 @@
 	account quota.Account
 	// waiting jobs over all services.
 	waiting int
+	// named in the configuration in force.
+	named bool
 }
 
+// idle tells whether nothing of the team waits or runs.
+func (t *team) idle() bool { return t.waiting == 0 && t.account.Running == 0 }
+
 // rejoin brings a team that had nothing to do level with the others.
 func (d *dispatcher) rejoin(t *team) {
-	if t.waiting > 0 || t.account.Running > 0 {
+	if !t.idle() {
 		return
 	}
 	floor, found := 0.0, false
 	for _, other := range d.teams {
-		if other.waiting == 0 && other.account.Running == 0 {
+		if other.idle() {
 			continue
 		}
 		if !found || other.account.Used < floor {
@@ -53,10 +59,18 @@
 	return t
 }
 
+// sweepTeams forgets idle teams that the configuration doesn't name, since any
+// caller can name one.
+func (d *dispatcher) sweepTeams() {
+	maps.DeleteFunc(d.teams, func(_ string, t *team) bool { return !t.named && t.idle() })
+}
+
 func (d *dispatcher) setQuota(t *team, directory *wire.Directory) {
 	t.account = t.account.With(0, 0)
+	t.named = false
 	for _, known := range directory.GetTeams() {
 		if known.GetName() == t.name {
+			t.named = true
 			t.account = t.account.With(known.GetWeight(), known.GetMaxRunning())
 		}
 	}
