--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -60,6 +60,7 @@
 		p.d.dispatch(k)
 	}
 	p.d.sweepTeams()
+	p.d.compare()
 	return calls
 }
 
