Take back: jobs ask for faster idle slots of other entries

Tried: a job whose best idle worker is much slower than the best known one asked the other entries for faster idle slots, once, and waited 5 ms at most.

--- a/lib/entry/desk.go
+++ b/lib/entry/desk.go
@@ -34,10 +34,6 @@
 	borrowers []*borrower
 	borrowing map[loanID]bool
 	recheck   bool
-	// odds of finding faster slots at other entries.
-	odds placement.Odds
-	// best is the factor of the fastest backend server, 0 for none yet.
-	best float64
 	// emptySince is since when no worker has a slot; zero while one has.
 	emptySince time.Time
 }
--- a/lib/entry/dispatch.go
+++ b/lib/entry/dispatch.go
@@ -29,7 +29,7 @@
 			break
 		}
 		n := look.waiting(k, r, h, ahead, now)
-		if n < len(r.ready) && !d.seek(r, h) {
+		if n < len(r.ready) {
 			t := k.queue.take(r, n)
 			if h = k.pool.elsewhere(t, h, now); h == nil {
 				aside = append(aside, t)
@@ -41,7 +41,7 @@
 		k.pool.put(h)
 		k.queue.leave(r)
 		passed = append(passed, r)
-		ahead += len(r.ready)
+		ahead += n
 	}
 	for _, r := range passed {
 		k.queue.enter(r)
--- a/lib/entry/job.go
+++ b/lib/entry/job.go
@@ -50,10 +50,6 @@
 	results [][]byte
 	outcome *wire.Outcome
 	done    chan struct{}
-	// sought is set once faster slots were asked for; seeking is the number of
-	// replies that the job still waits for.
-	sought  bool
-	seeking int
 	// place in the heap of its team, -1 while it isn't there.
 	place int
 }
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -60,7 +60,6 @@
 		p.d.dispatch(k)
 	}
 	p.d.sweepTeams()
-	p.d.compare()
 	return calls
 }
 
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -103,22 +103,18 @@
 		if h == nil {
 			return
 		}
-		b.tokens = append(b.tokens, h.lent(now))
+		left := h.until.Sub(now).Milliseconds()
+		b.tokens = append(b.tokens, &wire.Token{
+			Agent:         h.token.GetAgent(),
+			BackendServer: h.token.GetBackendServer(),
+			Service:       h.token.GetService(),
+			Number:        h.token.GetNumber(),
+			LeaseMillis:   left,
+		})
 		d.void(h)
 	}
 }
 
-// lent returns the token as it is passed on, with the rest of its lease.
-func (h *held) lent(now time.Time) *wire.Token {
-	return &wire.Token{
-		Agent:         h.token.GetAgent(),
-		BackendServer: h.token.GetBackendServer(),
-		Service:       h.token.GetService(),
-		Number:        h.token.GetNumber(),
-		LeaseMillis:   h.until.Sub(now).Milliseconds(),
-	}
-}
-
 func (k *desk) forget(b *borrower) {
 	for n, other := range k.borrowers {
 		if other == b {
--- a/lib/entry/lend_test.go
+++ b/lib/entry/lend_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"math"
 	"net/http/httptest"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
@@ -31,9 +29,6 @@
 	l.mu.Lock()
 	l.calls++
 	l.mu.Unlock()
-	if q.GetFasterMicros() > 0 {
-		return l.d.lendFaster(q), nil
-	}
 	return l.d.lendTo(ctx, q), nil
 }
 
@@ -109,31 +104,3 @@
 		return held == 8 && idle == 8
 	})
 }
-
-// TestBorrowsFasterSlots has one entry hold a slow worker and the other a fast
-// one.
-func TestBorrowsFasterSlots(t *testing.T) {
-	is := is.New(t)
-	fast, slow := startAgent(t, "fast", 4, done), startAgent(t, "slow", 4, done)
-	entries := newEntries(t, 2, fast, slow)
-	offerAll(entries[0].d, fast, 1)
-	offerAll(entries[1].d, slow, 1)
-	for _, l := range entries {
-		k := l.d.desk("sizing")
-		k.kind("finCheck", time.Second).times = placement.Average{Log: math.Log(0.1), N: 100}
-		for _, a := range l.d.fleet.agents {
-			name := a.incarnation.GetId()
-			s := a.serverOf(&wire.Token{BackendServer: name + "/server"}, k)
-			s.runs = 10
-			if name == "slow" {
-				s.speed = placement.Average{Log: math.Log(4), N: 100}
-			}
-		}
-	}
-	entries[1].d.compare()
-	is.Equal(entries[1].d.Run(t.Context(), jobOf("job", "finCheck", 3)).GetKind(), complete)
-	is.Equal(entries[0].calls, 1)
-	is.Equal(entries[0].d.status().Services[0].TokensHeld, 1)
-	is.Equal(entries[1].d.status().Services[0].TokensHeld, 7)
-	is.Equal(entries[1].d.fleet.agents[incarnationOf(slow.member.GetIncarnation())].servers["slow/server"].runs, uint64(10)) // none went there
-}
--- a/lib/placement/placement_test.go
+++ b/lib/placement/placement_test.go
@@ -175,18 +175,3 @@
 	}
 	is.Equal(h.TrialAt.Sub(now), lastTrial)
 }
-
-func TestOdds(t *testing.T) {
-	is := is.New(t)
-	o := Odds{}
-	is.True(o.Worth(1))
-	for range 10 {
-		o = o.WithResult(false)
-	}
-	is.True(!o.Worth(1))
-	is.True(o.Worth(probeEvery)) // now and then
-	for range 3 {
-		o = o.WithResult(true)
-	}
-	is.True(o.Worth(1))
-}
