--- a/load/internal/capacity/capacity.go
+++ b/load/internal/capacity/capacity.go
@@ -171,19 +171,20 @@
 		return
 	}
 	relays := s.relayCount()
+	base := max(0, f.KBSecond.Base)
 	renewal := f.KBSecond.Slope / f.Requests.Slope * kilobyte
 	cpu := f.CPU.Slope / f.Requests.Slope * microseconds / percent
 	each := p.Workers / relays
 	change := float64(s.rollout.ChangeBytes)
 	fmt.Fprintf(w, "Renewals of all members straight at the leader fit the budget of %.0f KB/s only at one in %.0f s from each. With %.0f relays, each renewing every %.2g s in the name of its members, and these every %.2g s with it:\n\n",
-		p.BudgetKBSecond, renewal*(p.Workers+p.Entries)/(p.BudgetKBSecond-f.KBSecond.Base)/kilobyte, relays, p.RelayInterval, p.RelayInterval)
+		p.BudgetKBSecond, renewal*(p.Workers+p.Entries)/(p.BudgetKBSecond-base)/kilobyte, relays, p.RelayInterval, p.RelayInterval)
 	fmt.Fprintln(w, "| | leader | each relay |")
 	fmt.Fprintln(w, "|---|---|---|")
 	fmt.Fprintf(w, "| renewals served a second (%.0f bytes and %.0f µs each) | %.1f | %.1f |\n", renewal, cpu, relays/p.RelayInterval, each/p.RelayInterval)
 	fmt.Fprintf(w, "| CPU, %% of a core (budget %.2g) | %.2f | %.2f |\n", p.BudgetCPU,
 		f.CPU.Base+cpu*relays/p.RelayInterval/microseconds*percent, cpu*each/p.RelayInterval/microseconds*percent)
 	fmt.Fprintf(w, "| KB/s (budget %.0f) | %.1f | %.1f |\n", p.BudgetKBSecond,
-		f.KBSecond.Base+renewal*relays/p.RelayInterval/kilobyte, renewal*each/p.RelayInterval/kilobyte)
+		base+renewal*relays/p.RelayInterval/kilobyte, renewal*each/p.RelayInterval/kilobyte)
 	fmt.Fprintf(w, "| RSS, MB (budget %.0f) | %.1f | |\n", p.BudgetRSS, f.RSS.At(relays))
 	fmt.Fprintf(w, "| KB/s for changes of configuration over a day | %.2f | %.2f |\n",
 		change*relays*p.ChangesPerDay/secondsPerDay/kilobyte, change*each*p.ChangesPerDay/secondsPerDay/kilobyte)
--- a/load/internal/fleet/publish.go
+++ b/load/internal/fleet/publish.go
@@ -76,17 +76,17 @@
 func (f *Fleet) WaitCalm(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	version, since := f.directoryVersion(ctx), time.Now()
+	version, since := f.DirectoryVersion(ctx), time.Now()
 	for ctx.Err() == nil && time.Since(since) < calm {
 		time.Sleep(pause)
-		if now := f.directoryVersion(ctx); now != version {
+		if now := f.DirectoryVersion(ctx); now != version {
 			version, since = now, time.Now()
 		}
 	}
 }
 
-// directoryVersion is the newest that a control host tells.
-func (f *Fleet) directoryVersion(ctx context.Context) uint64 {
+// DirectoryVersion is the newest that a control host tells.
+func (f *Fleet) DirectoryVersion(ctx context.Context) uint64 {
 	newest := uint64(0)
 	for _, address := range f.ControlAddresses() {
 		if status, err := f.Status(ctx, address); err == nil {
--- a/load/internal/slope/point.go
+++ b/load/internal/slope/point.go
@@ -43,6 +43,8 @@
 	StartsPerSecond float64 `json:"startsPerSecond"`
 	JobsPerSecond   float64 `json:"jobsPerSecond"`
 	Failed          int     `json:"failed"`
+	// DirectoryChanges during the phase; others than 0 raise what control uses.
+	DirectoryChanges uint64 `json:"directoryChanges"`
 	// DirectoryBytes is the size of the directory as a message.
 	DirectoryBytes int    `json:"directoryBytes"`
 	Roles          []Role `json:"roles"`
--- a/load/internal/slope/runner.go
+++ b/load/internal/slope/runner.go
@@ -81,12 +81,14 @@
 // phase reads what every process uses while work runs.
 func (n *Runner) phase(ctx context.Context, f *fleet.Fleet, p Point, work func()) Point {
 	p.LoadAverage = report.LoadAverage()
+	version := f.DirectoryVersion(ctx)
 	before := readAll(ctx, f)
 	begin := time.Now()
 	work()
 	p.Seconds = time.Since(begin).Seconds()
 	after := readAll(ctx, f)
 	p.Roles = rolesBetween(before, after, p)
+	p.DirectoryChanges = f.DirectoryVersion(ctx) - version
 	if status, err := f.Status(ctx, f.ControlAddresses()[0]); err == nil {
 		p.DirectoryBytes = proto.Size(status.GetDirectory())
 	}
--- a/load/internal/slope/table.go
+++ b/load/internal/slope/table.go
@@ -14,8 +14,8 @@
 // Markdown writes the points and the slopes as tables.
 func (r Result) Markdown(w io.Writer) {
 	r.Origin.Markdown(w)
-	fmt.Fprintln(w, "| agents | entries | control hosts | phase | starts/s | role | CPU, % of a core | RSS, MB | KB/s in and out | requests/s served | CPU µs a start |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| agents | entries | control hosts | phase | starts/s | directory changes | role | CPU, % of a core | RSS, MB | KB/s in and out | requests/s served | CPU µs a start |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, p := range r.Points {
 		p.markdown(w)
 	}
@@ -29,8 +29,8 @@
 		fmt.Fprintf(w, "| %d | %d | %d | %s | not run: %s |\n", p.Agents, p.Entries, p.Controls, p.Phase, p.Error)
 	}
 	for _, r := range p.Roles {
-		fmt.Fprintf(w, "| %d | %d | %d | %s | %.0f | %s | %.2f | %.1f | %.1f | %.1f | %.1f |\n",
-			p.Agents, p.Entries, p.Controls, p.Phase, p.StartsPerSecond, r.Name, r.CPU*percent,
+		fmt.Fprintf(w, "| %d | %d | %d | %s | %.0f | %d | %s | %.2f | %.1f | %.1f | %.1f | %.1f |\n",
+			p.Agents, p.Entries, p.Controls, p.Phase, p.StartsPerSecond, p.DirectoryChanges, r.Name, r.CPU*percent,
 			r.RSSBytes/megabyte, r.BytesPerSecond/kilobyte, r.RequestsPerSecond, r.CPUMicrosPerStart)
 	}
 }
