--- a/load/internal/capacity/capacity.go
+++ b/load/internal/capacity/capacity.go
@@ -88,6 +88,26 @@
 			s.cells(f.CPU, p.BudgetCPU), s.cells(f.KBSecond, p.BudgetKBSecond), s.cells(f.RSS, p.BudgetRSS))
 	}
 	fmt.Fprintln(w)
+	s.agent(w)
+}
+
+// agent is one agent without work; it hardly depends on the number of agents.
+func (s Sheet) agent(w io.Writer) {
+	var last slope.Point
+	for _, p := range s.slopes.Points {
+		if p.Phase == slope.Idle && p.Entries == 1 && p.Agents > last.Agents {
+			last = p
+		}
+	}
+	r, ok := last.Role(slope.Agent)
+	if !ok {
+		return
+	}
+	fmt.Fprintf(w, "An agent with its stand-in, no work, among %d: %.2f%% of a core and %.1f KB/s", last.Agents, r.CPU*percent, r.BytesPerSecond/kilobyte)
+	for _, k := range s.slopes.Keys {
+		fmt.Fprintf(w, "; an agent process by itself takes %.1f MB", k.RSSBefore/megabyte)
+	}
+	fmt.Fprint(w, ".\n\n")
 }
 
 // cells is a line, its value at the size, the budget and where that is passed.
