Cuts meet tasks in flight

Run: TestCuts passes; with lost contact taken for not started (entry/start.go) it fails with tasks that started twice. Cause: that guard could be off unseen, as the load's short tasks had ended before a cut. Change: long tasks run at both entries when the link is damaged, and one task in five of the load is long; one more case has requests come late while answers are lost.

--- a/test/load_test.go
+++ b/test/load_test.go
@@ -8,6 +8,10 @@
 	"time"
 )
 
+// longRun is the run time of the longer tasks, in milliseconds: some of them
+// run at the time of any fault.
+const longRun = 700
+
 // load returns a function that submits small jobs by n callers until its
 // context ends.
 func (s *system) load(prefix string, n int) func(ctx context.Context) {
@@ -33,7 +37,11 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		c.entry++
 		kind := []string{"finCheck", "labelRelease"}[i%2]
-		j := newJob(fmt.Sprintf("%s-%d", c.prefix, i), kind, 1+i%6, 10+i%40)
+		run := 10 + i%40
+		if i%5 == 0 {
+			run = longRun
+		}
+		j := newJob(fmt.Sprintf("%s-%d", c.prefix, i), kind, 1+i%6, run)
 		if i%4 < 2 {
 			j = j.stamped()
 		}
--- a/test/partition_test.go
+++ b/test/partition_test.go
@@ -21,6 +21,7 @@
 		{"an agent is cut off", firstAgent, func(l *link) { l.silence(requests); l.silence(answers) }},
 		{"answers of an agent are lost", firstAgent, func(l *link) { l.lose(answers) }},
 		{"answers of an agent come late and out of order", firstAgent, func(l *link) { l.delay(answers, 400, 390) }},
+		{"requests to an agent come late while its answers are lost", firstAgent, func(l *link) { l.delay(requests, 400, 390); l.lose(answers) }},
 		{"answers of an entry are lost", firstEntry, func(l *link) { l.lose(answers) }},
 		{"answers of an entry come late and out of order", firstEntry, func(l *link) { l.delay(answers, 400, 390) }},
 		{"answers of the control host vanish", firstControl, func(l *link) { l.silence(answers) }},
@@ -32,6 +33,13 @@
 			defer s.supervise()()
 			stop := background(s.load("cut", 4))
 			n := test.node(s)
+			// Tasks on their way when the link is damaged: their answers are what is lost.
+			inFlight := []<-chan answer{
+				s.sendAsync(0, newJob("in-flight-0", "finCheck", 12, 900)),
+				s.sendAsync(1, newJob("in-flight-1", unrepeatableKind, 12, 900)),
+			}
+			s.awaitStarts("in-flight-0", 12)
+			s.awaitStarts("in-flight-1", 12)
 			test.wound(n.link)
 			time.Sleep(cutTime)
 			n.link.heal()
@@ -40,6 +48,9 @@
 				s.awaitJob(i)
 			}
 			stop()
+			for _, a := range inFlight {
+				<-a
+			}
 			s.settleAll()
 			s.judge()
 		})
