--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
 )
@@ -138,6 +139,24 @@
 	g.is.Equal(now.GetLostAtMillis(), int64(0))
 }
 
+// TestNewLeader requires that a new leader, which has heard from nobody yet,
+// declares nobody dead before a full lease is over.
+func TestNewLeader(t *testing.T) {
+	g := newGroup(t)
+	g.lead(1, g.now)
+	g.join(agent(1, 1))
+	g.join(agent(2, 1))
+	g.settle()
+	g.now = g.now.Add(time.Hour)
+	g.lead(2, g.now)
+	for range 3 {
+		g.is.Equal(len(g.decisions(&wire.Limits{}, testShards, g.now)), 0)
+		g.now = g.now.Add(400 * time.Millisecond)
+		g.join(agent(2, 1)) // one of them is heard, the other is not
+	}
+	g.is.Equal(g.decisions(&wire.Limits{}, testShards, g.now)[0].GetDeclare().GetDead()[0].GetId(), "worker01")
+}
+
 func TestNewIncarnationRetiresOld(t *testing.T) {
 	g := newGroup(t)
 	g.join(agent(1, 1))
@@ -247,8 +266,14 @@
 	is.True(publish("c", 1).GetAccepted())
 	is.Equal(publish("a", 0).GetVersion(), uint64(1))
 	for n := range maxContents {
-		is.True(publish(fmt.Sprint("n", n), m.configuration().GetVersion()).GetAccepted())
+		is.True(publish(fmt.Sprint("n", n), m.latest().GetVersion()).GetAccepted())
 	}
-	is.True(m.since(1, 1)[0].GetDropped())
+	oldest, err := reveal(m.since(1, 1))
+	is.NoErr(err)
+	is.True(oldest[0].GetDropped())
 	is.Equal(publish("a", 0).GetVersion(), uint64(1)) // still known by its id
+	again := newMachine()
+	is.NoErr(again.Restore(m.Snapshot()))
+	is.Equal(again.Snapshot(), m.Snapshot())
+	is.True(proto.Equal(again.inForce, m.inForce))
 }
