--- a/load/internal/cmd/cmd_pages.go
+++ b/load/internal/cmd/cmd_pages.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"errors"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
@@ -48,6 +50,9 @@
 func (c *cmdPages) render(name string) (string, error) {
 	var text strings.Builder
 	t, err := c.table(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		return "Not run yet; `make measure` runs it.", nil
+	}
 	if err != nil {
 		return "", err
 	}
