Slots that an entry lent to a lost one come back within seconds

Cause: an agent takes lent tokens to be held by the lender; with the borrower gone, or with a reply lost, nobody used them until their lease of two minutes ended, as the comparison with the agent's book came before it could tell them from tokens on their way. Change: the comparison is repeated once they are settled, after a doubt and after the loss of an entry; entries lend to members only.

--- a/lib/entry/fleet.go
+++ b/lib/entry/fleet.go
@@ -6,9 +6,14 @@
 	"time"
 
 	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/slot"
 	"skylarklane.example/lib/wire"
 )
 
+// recheckDelay is how long after a doubt tokens are compared with the agent's
+// book: it takes younger ones to be on their way.
+const recheckDelay = slot.SettleTime + keepInterval
+
 // incarnation names a process incarnation as a map key.
 type incarnation struct {
 	id     string
@@ -38,6 +43,9 @@
 	tokens map[uint64]*held
 	// doubt is set where a message that may have brought a token was lost.
 	doubt bool
+	// recheckAt is when the agent can tell a lost token from one on its way;
+	// zero where none may be lost.
+	recheckAt time.Time
 	// suspectUntil keeps starts away after a failed dial.
 	suspectUntil time.Time
 }
@@ -91,11 +99,20 @@
 	for id := range f.peers {
 		if !present[id] {
 			delete(f.peers, id)
+			f.recheck(time.Now())
 		}
 	}
 	return f.removeAgents(directory)
 }
 
+// recheck has the tokens of all agents compared once those that an entry that
+// is gone had borrowed are settled.
+func (f *fleet) recheck(now time.Time) {
+	for _, a := range f.agents {
+		a.recheckAt = now.Add(recheckDelay)
+	}
+}
+
 func (f *fleet) addAgent(id incarnation, member *wire.Member, client *http.Client) {
 	a := f.agents[id]
 	if a == nil {
--- a/lib/entry/keeper.go
+++ b/lib/entry/keeper.go
@@ -75,7 +75,8 @@
 // claimOf returns the call that an agent needs; nil for none.
 func (d *dispatcher) claimOf(a *agent, now time.Time) *claim {
 	c := &claim{d: d, agent: a, request: &wire.ClaimRequest{Entry: d.self, Complete: true}, until: map[uint64]time.Time{}}
-	due := a.doubt
+	recheck := !a.recheckAt.IsZero() && now.After(a.recheckAt)
+	due := a.doubt || recheck
 	for number, h := range a.tokens {
 		if d.leaving && h.idle && h.server.desk.queue.tasks == 0 {
 			c.request.Returned = append(c.request.Returned, number)
@@ -90,6 +91,12 @@
 	if !due {
 		return nil
 	}
+	if recheck {
+		a.recheckAt = time.Time{}
+	}
+	if a.doubt {
+		a.recheckAt = now.Add(recheckDelay)
+	}
 	a.doubt = false
 	return c
 }
--- a/lib/entry/lend.go
+++ b/lib/entry/lend.go
@@ -43,6 +43,11 @@
 func (d *dispatcher) lendTo(ctx context.Context, q *wire.BorrowRequest) *wire.BorrowReply {
 	b := &borrower{request: q, full: make(chan struct{})}
 	d.mu.Lock()
+	if d.fleet.peers[incarnationOf(q.GetEntry())] == nil {
+		d.mu.Unlock()
+		d.scope.Tagged(map[string]string{"reason": "borrowerNotMember"}).Counter("lendings_refused").Inc(1)
+		return &wire.BorrowReply{}
+	}
 	k := d.desk(q.GetService())
 	k.borrowers = append(k.borrowers, b)
 	d.lend(k)
--- a/lib/slot/book.go
+++ b/lib/slot/book.go
@@ -21,8 +21,8 @@
 	LeaseTime = 2 * time.Minute
 	// leaseMargin is how much longer the agent takes a token to be held.
 	leaseMargin = 2 * time.Second
-	// settleTime is how long a token may be on its way between processes.
-	settleTime = 10 * time.Second
+	// SettleTime is how long a token may be on its way between processes.
+	SettleTime = 10 * time.Second
 )
 
 // Book knows which slots of a worker are free and who holds the others.
--- a/lib/slot/book_test.go
+++ b/lib/slot/book_test.go
@@ -66,7 +66,7 @@
 		{"given back", func(b *Book, n uint64) { b.Claim(&wire.ClaimRequest{Entry: entryA, Returned: []uint64{n}}) }, 1},
 		{"revoked", func(b *Book, n uint64) { b.Revoke([]*wire.Token{{Number: n}}) }, 1},
 		{"lost on the way", func(b *Book, _ uint64) {
-			time.Sleep(settleTime + time.Millisecond)
+			time.Sleep(SettleTime + time.Millisecond)
 			b.Claim(&wire.ClaimRequest{Entry: entryA, Complete: true})
 		}, 1},
 	}
--- a/lib/slot/claim.go
+++ b/lib/slot/claim.go
@@ -52,7 +52,7 @@
 // reconcile frees the tokens that an entry does not know of: the message that
 // brought them was lost. Younger ones may still be on their way.
 func (b *Book) reconcile(entry entryID, known []uint64) {
-	before := time.Now().Add(-settleTime)
+	before := time.Now().Add(-SettleTime)
 	for _, s := range b.slots {
 		lost := s.state == leased && s.holder == entry && s.since.Before(before)
 		if lost && !slices.Contains(known, s.number) {
