--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,8 +1,13 @@
 #!/bin/sh
 # Checks every model to completion and requires that each of its variants with
-# one guard off is refuted.
+# one guard off is refuted. Some searches run at a time.
+#
+#   check.sh                              all searches
+#   check.sh whole MODEL [DEFINE...]      one that must hold
+#   check.sh refuted MODEL [DEFINE...]    one that must be refuted
 set -eu
 cd "$(dirname "$0")"
+at_a_time=5
 
 # A line for each search: model | bounds | guards, each of which is switched
 # off in turn under the same bounds. A line without bounds has the model's own,
@@ -21,8 +26,19 @@
 ledger.pml | QUICK EPOCHS=2 DEATHS=2 LOST=1 LOSSES=0 | LOST_HOLDER
 "
 
-out=$(mktemp -d)
-trap 'rm -rf "$out"' EXIT
+# list prints a line for each search: what it must come to, model, defines.
+list() {
+	echo "$searches" | while IFS='|' read -r model bounds guards; do
+		[ -n "$model" ] || continue
+		case $model in
+		variants*) model=${model#variants } ;;
+		*) echo whole $model $bounds ;;
+		esac
+		for guard in $guards; do
+			echo refuted $model $bounds $guard
+		done
+	done
+}
 
 # verify MODEL [DEFINE...]: builds and runs the checker; the result is in pan.out.
 verify() {
@@ -34,7 +50,6 @@
 	done
 	(
 		cd "$out"
-		rm -f pan* -- *.trail
 		# shellcheck disable=SC2086
 		spin $defines -a "$path" >spin.out 2>&1 &&
 			cc $optimise -w -DSAFETY -DCOLLAPSE -DVECTORSZ=4096 -DMEMLIM=3000 -o pan pan.c >cc.out 2>&1 &&
@@ -74,15 +89,10 @@
 	echo "$*: refuted after $(states) states"
 }
 
-echo "$searches" | while IFS='|' read -r model bounds guards; do
-	[ -n "$model" ] || continue
-	case $model in
-	variants*) model=${model#variants } ;;
-	# shellcheck disable=SC2086
-	*) whole $model $bounds ;;
-	esac
-	for guard in $guards; do
-		# shellcheck disable=SC2086
-		refuted $model $bounds "$guard"
-	done
-done
+if [ $# -eq 0 ]; then
+	list | xargs -P "$at_a_time" -L 1 ./check.sh
+	exit
+fi
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+"$@"
