Ledger: remember every live entry's freed claim, not only the last

Cause: a released record kept one claim, so a second entry that held and freed the key erased the first one's, whose late hold was then taken; if that entry died, a takeover could start a submission that had been refused. Change: the record lists the newest freed claim of each incarnation, without the dead. Ruled out: refusing holds by time sent, which needs clocks that agree. The model carries the list; within its bounds it can't tell it from one claim.

--- a/lib/ledger/record.go
+++ b/lib/ledger/record.go
@@ -34,6 +34,7 @@
 	spec      *wire.JobSpec
 	former    []*wire.Incarnation
 	claim     uint64
+	freed     freed
 	sequence  uint32
 	state     wire.KeyState
 	truncated bool
@@ -63,7 +64,7 @@
 	case r.state == wire.KeyState_KEY_STATE_FINISHED, r.state == wire.KeyState_KEY_STATE_REFUSED && !idempotent:
 		return false
 	}
-	return !same(r.holder, who) || claim > r.claim
+	return !r.freed.has(who, claim)
 }
 
 // next returns a copy to change, one sequence number on.
@@ -106,7 +107,7 @@
 	m := &wire.Record{
 		Key: key, Digest: r.digest[:], State: r.state, Holder: r.holder, Sequence: uint64(r.sequence),
 		SubmittedAtMillis: r.submittedAt, HeldAtMillis: r.heldAt, FinishedAtMillis: r.finishedAt,
-		Spec: r.spec, Former: r.former, Epoch: r.epoch, Claim: r.claim,
+		Spec: r.spec, Former: r.former, Epoch: r.epoch, Claim: r.claim, Freed: r.freed,
 	}
 	if r.outcome != nil {
 		m.Outcome = &wire.Outcome{}
@@ -126,7 +127,7 @@
 	r := &record{
 		digest: [digestBytes]byte(m.GetDigest()), holder: m.GetHolder(), submittedAt: m.GetSubmittedAtMillis(),
 		heldAt: m.GetHeldAtMillis(), finishedAt: m.GetFinishedAtMillis(), epoch: m.GetEpoch(),
-		spec: m.GetSpec(), former: m.GetFormer(), claim: m.GetClaim(), sequence: uint32(m.GetSequence()), state: m.GetState(),
+		spec: m.GetSpec(), former: m.GetFormer(), claim: m.GetClaim(), freed: m.GetFreed(), sequence: uint32(m.GetSequence()), state: m.GetState(),
 	}
 	if m.GetOutcome() != nil {
 		r.outcome, r.truncated = encode(m.GetOutcome())
--- a/lib/ledger/replica_test.go
+++ b/lib/ledger/replica_test.go
@@ -250,6 +250,33 @@
 	}
 }
 
+// TestLateHoldOfEach sends a late hold of each of two entries that gave the
+// key back, in turn.
+func TestLateHoldOfEach(t *testing.T) {
+	for _, late := range []string{"e1", "e2"} {
+		t.Run(late, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 3)
+				for _, entry := range []string{"e1", "e2"} {
+					hold, err := c.clients[entry].Hold(t.Context(), holdRequest("key", 1))
+					is.NoErr(err)
+					is.True(hold.GetGranted())
+					reply, err := c.clients[entry].Finish(t.Context(), finishRequest("key", 1, notRun))
+					is.NoErr(err)
+					is.Equal(reply.GetRecord().GetState(), wire.KeyState_KEY_STATE_RELEASED)
+				}
+				hold, err := c.clients[late].Hold(t.Context(), holdRequest("key", 1))
+				is.NoErr(err)
+				is.True(!hold.GetGranted())
+				look, err := c.clients["e1"].Look(t.Context(), "key")
+				is.NoErr(err)
+				is.True(look.GetRecord() == nil) // the key stays free
+			})
+		})
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	tests := []struct {
 		name       string
--- a/lib/ledger/write.go
+++ b/lib/ledger/write.go
@@ -117,12 +117,10 @@
 func (r *Replica) finish(q *wire.FinishRequest) change {
 	return func(s *shard, old *record) (*record, wire.LedgerError) {
 		refusal := q.GetOutcome().GetKind() == wire.OutcomeKind_OUTCOME_KIND_NOT_RUN && !q.GetLasting()
+		now := time.Now()
 		if refusal && old != nil && !old.taken() {
-			// The claim that freed the key stays known, so that a late hold
-			// under it is still refused.
-			return nil, wire.LedgerError_LEDGER_ERROR_NONE
+			return r.refuseAgain(q, old, now), wire.LedgerError_LEDGER_ERROR_NONE
 		}
-		now := time.Now()
 		next := old.next()
 		next.holder, next.finishedAt = r.intern(q.GetHolder()), now.UnixMilli()
 		next.spec, next.claim = nil, q.GetClaim()
@@ -146,11 +144,37 @@
 		if next.state == wire.KeyState_KEY_STATE_RELEASED && q.GetLasting() {
 			next.state = wire.KeyState_KEY_STATE_REFUSED
 		}
+		if next.state != wire.KeyState_KEY_STATE_FINISHED {
+			next.freed = r.withFreed(old, q)
+		}
 		next.outcome, next.truncated = encode(q.GetOutcome())
 		return next, wire.LedgerError_LEDGER_ERROR_NONE
 	}
 }
 
+// refuseAgain adds the claim of one more refusal to a key that is free; nil
+// where the record has it.
+func (r *Replica) refuseAgain(q *wire.FinishRequest, old *record, now time.Time) *record {
+	if old.freed.has(q.GetHolder(), q.GetClaim()) {
+		return nil
+	}
+	next := old.next()
+	next.freed = r.withFreed(old, q)
+	next.finishedAt = now.UnixMilli()
+	return next
+}
+
+// withFreed returns the freed claims of a record with that of a request.
+func (r *Replica) withFreed(old *record, q *wire.FinishRequest) freed {
+	var known freed
+	if old != nil {
+		known = old.freed
+	}
+	directory := r.directory.Directory()
+	dead := func(who *wire.Incarnation) bool { return r.book.isDead(directory, who) }
+	return known.with(r.intern(q.GetHolder()), q.GetClaim(), dead)
+}
+
 // mayFinish tells whether the outcome of a key without a record is to be
 // believed: a failure always is; a refusal where the key can't have been known
 // before. Where the shard was lost, the entry must have held the key before,
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -94,6 +94,7 @@
 byte seen[3];               /* newest epoch in the agent's directory */
 byte state[3], holder[3], claim[3], origin[3], sequence[3], written[3];
 bool former[3];             /* the record was taken over */
+byte freed[3];              /* newest claim of each entry that gave the key back, 4 bits each */
 bool copied;                /* agent 2 holds a whole copy */
 bool fenced[3];             /* entry 0 is fenced */
 bool stranger;              /* agent 2's directory never had entry 0 alive */
@@ -104,6 +105,7 @@
 bool opDeaf[3], opChanged[3];
 byte opState[3], opHolder[3], opHolderClaim[3], opOrigin[3], opSequence[3];
 bool opFormer[3];
+byte opFreed[3];
 
 /* ---- entries ---- */
 byte phase[2];
@@ -153,12 +155,15 @@
 /* A member of the op's view that has not answered and will not. */
 #define SILENT(a, b) (HAS(ALL(opEpoch[a]) & ~opAcked[a], b) && (!CURRENT(b) || seen[b] != opEpoch[a]))
 
+#define FREED(a, e) ((freed[a] >> (4 * (e))) & 15)
+#define GIVEN_BACK(a, e, c) (c <= FREED(a, e))
+
 #ifdef NO_CLAIM
 #define HELD_BY(a, e, c) (state[a] == Held && holder[a] == e)
 #define MAY_HOLD(a, e, c) (state[a] == None || state[a] == Released)
 #else
 #define HELD_BY(a, e, c) (state[a] == Held && holder[a] == e && claim[a] == c)
-#define MAY_HOLD(a, e, c) (state[a] == None || (state[a] == Released && (holder[a] != e || c > claim[a])) || (state[a] == Held && holder[a] == e && c > claim[a] && !former[a]))
+#define MAY_HOLD(a, e, c) (state[a] == None || (state[a] == Released && !GIVEN_BACK(a, e, c)) || (state[a] == Held && holder[a] == e && c > claim[a] && !former[a]))
 #endif
 
 /* The job was held before the shard was lost, and was not taken over since. */
@@ -198,6 +203,14 @@
 	fi
 }
 
+/* free notes the claim under which an entry gives the key back. */
+inline free(a, e, c) {
+	if
+	:: c > FREED(a, e) -> freed[a] = (freed[a] & ~(15 << (4 * e))) | (c << (4 * e))
+	:: else
+	fi
+}
+
 /* change applies a request to the primary's own record. */
 inline change(a, kind, e, c, copy) {
 	opChanged[a] = true;
@@ -219,6 +232,7 @@
 		:: else -> state[a] = Failed
 		fi;
 		holder[a] = e; claim[a] = c
+	:: kind == FinishNotRun && idempotent && state[a] == Released && c > FREED(a, e) -> free(a, e, c)
 	:: kind == FinishNotRun && !(idempotent && state[a] == Released) && (HELD_BY(a, e, c) || MAY_HOLD(a, e, c)) ->
 		if
 #ifndef NO_LOST_AT
@@ -236,6 +250,7 @@
 #endif
 			fi
 		fi;
+		free(a, e, c);
 		holder[a] = e; claim[a] = c
 	:: else -> opChanged[a] = false
 	fi;
@@ -243,12 +258,12 @@
 	written[a] = seen[a];
 	opKind[a] = kind; opEntry[a] = e; opClaim[a] = c; opEpoch[a] = seen[a]; opAcked[a] = BIT(a);
 	opState[a] = state[a]; opHolder[a] = holder[a]; opHolderClaim[a] = claim[a];
-	opOrigin[a] = origin[a]; opSequence[a] = sequence[a]; opFormer[a] = former[a]
+	opOrigin[a] = origin[a]; opSequence[a] = sequence[a]; opFormer[a] = former[a]; opFreed[a] = freed[a]
 }
 
 inline endOp(a) {
 	opKind[a] = 0; opEntry[a] = 0; opClaim[a] = 0; opEpoch[a] = 0; opAcked[a] = 0; opDeaf[a] = false; opChanged[a] = false;
-	opState[a] = 0; opHolder[a] = 0; opHolderClaim[a] = 0; opOrigin[a] = 0; opSequence[a] = 0; opFormer[a] = false
+	opState[a] = 0; opHolder[a] = 0; opHolderClaim[a] = 0; opOrigin[a] = 0; opSequence[a] = 0; opFormer[a] = false; opFreed[a] = 0
 }
 
 /* reply brings the record to the entry that asked. */
@@ -290,7 +305,7 @@
 	if
 	:: opEpoch[a] > written[b] || (opEpoch[a] == written[b] && opSequence[a] > sequence[b]) ->
 		state[b] = opState[a]; holder[b] = opHolder[a]; claim[b] = opHolderClaim[a]; origin[b] = opOrigin[a];
-		former[b] = opFormer[a]; sequence[b] = opSequence[a]; written[b] = opEpoch[a]
+		former[b] = opFormer[a]; freed[b] = opFreed[a]; sequence[b] = opSequence[a]; written[b] = opEpoch[a]
 	:: else
 	fi
 }
@@ -341,7 +356,7 @@
 	:: atomic { seen[a] < epoch && !agentDead[a] && (a != 2 || joined) ->
 		seen[a] = epoch;
 		if
-		:: restarted -> state[a] = None; holder[a] = 0; claim[a] = 0; origin[a] = 0; former[a] = false; sequence[a] = 0; written[a] = 0
+		:: restarted -> state[a] = None; holder[a] = 0; claim[a] = 0; origin[a] = 0; former[a] = false; freed[a] = 0; sequence[a] = 0; written[a] = 0
 		:: else
 		fi }
 	/* Start */
@@ -370,7 +385,7 @@
 		if
 		:: written[primary[epoch]] > written[2] || (written[primary[epoch]] == written[2] && sequence[primary[epoch]] > sequence[2]) ->
 			state[2] = state[primary[epoch]]; holder[2] = holder[primary[epoch]]; claim[2] = claim[primary[epoch]];
-			origin[2] = origin[primary[epoch]]; former[2] = former[primary[epoch]];
+			origin[2] = origin[primary[epoch]]; former[2] = former[primary[epoch]]; freed[2] = freed[primary[epoch]];
 			sequence[2] = sequence[primary[epoch]]; written[2] = written[primary[epoch]]
 		:: else
 		fi;
