Take an agent's ignorance as proof only as long as it remembers

Run: with the guard off TestVerdict and TestStateOf fail; with it they and go test -race ./lib/entry ./lib/task pass. Cause: read from the code: agents forget ended tasks after five minutes, but a takeover, and an entry that had lost contact for longer, took a task that no agent knows of for never started, and would have started it a second time. Change: such an answer counts only where the job (or the start) is younger than that, less the clocks' difference; else the job fails. Ruled out: keeping tasks for as long as keys, which is unbounded in a job's length.

--- a/lib/entry/ask.go
+++ b/lib/entry/ask.go
@@ -72,7 +72,8 @@
 	}
 	for _, status := range reply.GetTasks() {
 		if status.GetTask() == s.t.number && status.GetState() != wire.TaskState_TASK_STATE_UNSPECIFIED {
-			return &wire.StartReply{State: status.GetState(), Reason: status.GetReason(), Result: status.GetResult()}
+			state := stateOf(status, s.t.startedAt, time.Now())
+			return &wire.StartReply{State: state, Reason: status.GetReason(), Result: status.GetResult()}
 		}
 	}
 	return unknown
--- /dev/null
+++ b/lib/entry/remember_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	tasks "skylarklane.example/lib/task"
+	"skylarklane.example/lib/wire"
+)
+
+// TestStateOf shows that an agent's ignorance proves nothing of old tasks.
+func TestStateOf(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	tests := []struct {
+		name  string
+		state wire.TaskState
+		age   time.Duration
+		want  wire.TaskState
+	}{
+		{"young, not started", wire.TaskState_TASK_STATE_NOT_STARTED, time.Second, wire.TaskState_TASK_STATE_NOT_STARTED},
+		{"old, not started", wire.TaskState_TASK_STATE_NOT_STARTED, tasks.KeepTime, wire.TaskState_TASK_STATE_UNSPECIFIED},
+		{"old, clocks apart", wire.TaskState_TASK_STATE_NOT_STARTED, tasks.KeepTime - maxClockSkew, wire.TaskState_TASK_STATE_UNSPECIFIED},
+		{"old, done", wire.TaskState_TASK_STATE_DONE, tasks.KeepTime, wire.TaskState_TASK_STATE_DONE},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			status := &wire.TaskStatus{State: test.state}
+			is.New(t).Equal(stateOf(status, now.Add(-test.age), now), test.want)
+		})
+	}
+}
+
+// TestVerdict shows when a takeover may start tasks that no agent knows of.
+func TestVerdict(t *testing.T) {
+	tests := []struct {
+		name  string
+		age   time.Duration
+		proof bool
+		want  string
+	}{
+		{"young, all agents answered", time.Second, true, ""},
+		{"young, an agent did not answer", time.Second, false, reasonUnknown},
+		{"held longer than agents remember", tasks.KeepTime, true, reasonUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			record := &wire.Record{HeldAtMillis: time.Now().Add(-test.age).UnixMilli()}
+			f := &fence{record: record, found: map[uint32]*located{}, proof: test.proof}
+			is.New(t).Equal(f.verdict(1).GetReason(), test.want)
+		})
+	}
+}
--- a/lib/entry/takeover.go
+++ b/lib/entry/takeover.go
@@ -45,17 +45,17 @@
 // resume finds out what became of each task and returns the job's outcome.
 func (c *coordinator) resume(ctx context.Context, record *wire.Record) *wire.Outcome {
 	f := &fence{e: c.e, record: record, found: map[uint32]*located{}}
-	proof := f.raise(ctx)
+	f.proof = f.raise(ctx)
 	spec := record.GetSpec()
 	if spec == nil {
 		return failedOutcome("submissionNotKept")
 	}
-	if outcome := f.verdict(len(spec.GetPayloads()), proof); outcome != nil {
+	if outcome := f.verdict(len(spec.GetPayloads())); outcome != nil {
 		f.cancelRunning(ctx)
 		return outcome
 	}
 	f.awaitRunning(ctx)
-	if outcome := f.verdict(len(spec.GetPayloads()), proof); outcome != nil {
+	if outcome := f.verdict(len(spec.GetPayloads())); outcome != nil {
 		f.cancelRunning(ctx)
 		return outcome
 	}
@@ -87,6 +87,8 @@
 	found map[uint32]*located
 	// unproved counts agents that gave no answer.
 	unproved int
+	// proof is set where every agent that can have started a task answered.
+	proof bool
 }
 
 // raise fences the former holders at every agent. It returns true where every
@@ -150,9 +152,11 @@
 }
 
 // verdict returns the outcome where it is clear without another start.
-func (f *fence) verdict(tasks int, proof bool) *wire.Outcome {
+func (f *fence) verdict(tasks int) *wire.Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// Agents forget what ended long ago.
+	proof := f.proof && remembered(time.UnixMilli(f.record.GetHeldAtMillis()), time.Now())
 	results := make([][]byte, tasks)
 	left := tasks
 	for n := range uint32(tasks) {
--- a/lib/task/table_test.go
+++ b/lib/task/table_test.go
@@ -167,7 +167,7 @@
 		is.Equal(status.GetState(), wire.TaskState_TASK_STATE_FAILED)
 		is.Equal(status.GetReason(), ReasonResultDropped)
 		is.Equal(table.bytes, resultBudget)
-		time.Sleep(keepTime + time.Second)
+		time.Sleep(KeepTime + time.Second)
 		is.True(table.Begin(start(first)) == nil) // forgets the others
 		is.Equal(table.Len(), 1)
 		is.Equal(table.bytes, 0)
