--- a/lib/agent/leave.go
+++ b/lib/agent/leave.go
@@ -53,11 +53,11 @@
 // named tells whether a view still counts on an agent.
 func named(directory *wire.Directory, who *wire.Incarnation) bool {
 	for _, view := range directory.GetViews() {
-		if same(view.GetPrimary(), who) {
+		if wire.Same(view.GetPrimary(), who) {
 			return true
 		}
 		for _, backup := range view.GetBackups() {
-			if same(backup, who) {
+			if wire.Same(backup, who) {
 				return true
 			}
 		}
@@ -68,13 +68,9 @@
 // heirs tells whether another agent stays that could take shards.
 func heirs(directory *wire.Directory, who *wire.Incarnation) bool {
 	for _, member := range directory.GetMembers() {
-		if member.GetRole() == wire.Role_ROLE_AGENT && !member.GetLeaving() && !same(member.GetIncarnation(), who) {
+		if member.GetRole() == wire.Role_ROLE_AGENT && !member.GetLeaving() && !wire.Same(member.GetIncarnation(), who) {
 			return true
 		}
 	}
 	return false
 }
-
-func same(a, b *wire.Incarnation) bool {
-	return a.GetId() == b.GetId() && a.GetNumber() == b.GetNumber()
-}
--- a/lib/agent/start.go
+++ b/lib/agent/start.go
@@ -15,7 +15,7 @@
 
 // Start implements wire.Agent. The task goes on where the caller is lost.
 func (a *Agent) Start(ctx context.Context, q *wire.StartRequest) (*wire.StartReply, error) {
-	if !same(q.GetAgent(), a.follower.Member().GetIncarnation()) {
+	if !wire.Same(q.GetAgent(), a.follower.Member().GetIncarnation()) {
 		// The token numbers of another life mean nothing here.
 		return notStarted(task.ReasonOtherIncarnation), nil
 	}
--- a/lib/control/decide.go
+++ b/lib/control/decide.go
@@ -67,7 +67,7 @@
 	case *wire.ReportRequest_Silent:
 		who := report.Silent.GetMember()
 		view := s.view(report.Silent.GetShard(), report.Silent.GetEpoch())
-		if view == nil || !same(view.GetPrimary(), q.GetReporter()) || same(view.GetPrimary(), who) || !contains(view, who) {
+		if view == nil || !wire.Same(view.GetPrimary(), q.GetReporter()) || wire.Same(view.GetPrimary(), who) || !contains(view, who) {
 			return nil
 		}
 		s.leases.silence(view.GetShard(), who, now)
--- a/lib/control/leases.go
+++ b/lib/control/leases.go
@@ -73,7 +73,7 @@
 // left returns how long a member's lease still runs.
 func (l *leases) left(who *wire.Incarnation, now time.Time) (time.Duration, uint64) {
 	held := l.held[who.GetId()]
-	if held == nil || !same(held.incarnation, who) {
+	if held == nil || !wire.Same(held.incarnation, who) {
 		return 0, 0
 	}
 	return held.until.Sub(now), held.version
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -86,7 +86,7 @@
 // member returns the member of an incarnation, nil where it is none.
 func (m *machine) member(who *wire.Incarnation) *wire.Member {
 	for _, member := range m.state.GetMembers() {
-		if same(member.GetIncarnation(), who) {
+		if wire.Same(member.GetIncarnation(), who) {
 			return member
 		}
 	}
@@ -95,7 +95,7 @@
 
 // isDead tells whether an incarnation is known to be dead.
 func (m *machine) isDead(who *wire.Incarnation) bool {
-	return slices.ContainsFunc(m.state.GetDeaths(), func(d *wire.Death) bool { return same(d.GetIncarnation(), who) })
+	return slices.ContainsFunc(m.state.GetDeaths(), func(d *wire.Death) bool { return wire.Same(d.GetIncarnation(), who) })
 }
 
 func (m *machine) join(index uint64, at int64, member *wire.Member) {
@@ -111,7 +111,7 @@
 		if old.GetIncarnation().GetId() != who.GetId() {
 			return false
 		}
-		if !same(old.GetIncarnation(), who) {
+		if !wire.Same(old.GetIncarnation(), who) {
 			older = append(older, old.GetIncarnation())
 		}
 		return true
@@ -132,7 +132,7 @@
 		}
 		m.state.Version = index
 		m.state.Members = slices.DeleteFunc(m.state.GetMembers(), func(member *wire.Member) bool {
-			return same(member.GetIncarnation(), who)
+			return wire.Same(member.GetIncarnation(), who)
 		})
 		m.bury(index, at, who)
 	}
@@ -198,7 +198,3 @@
 	}
 	return shard < len(m.state.GetViews()) && view.GetEpoch() == m.state.GetViews()[shard].GetEpoch()+1
 }
-
-func same(a, b *wire.Incarnation) bool {
-	return a.GetId() == b.GetId() && a.GetNumber() == b.GetNumber()
-}
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -164,7 +164,7 @@
 	g.join(agent(1, 2))
 	g.is.True(g.machine.isDead(agent(1, 1).GetIncarnation()))
 	for _, view := range g.machine.state.GetViews() {
-		g.is.True(same(view.GetPrimary(), agent(1, 2).GetIncarnation()))
+		g.is.True(wire.Same(view.GetPrimary(), agent(1, 2).GetIncarnation()))
 		g.is.True(view.GetLostAtMillis() > 0) // the only copy is gone
 		g.is.Equal(view.GetEpoch(), uint64(2))
 	}
@@ -195,7 +195,7 @@
 	g.is.True(view.GetLostAtMillis() > 0)
 	g.join(agent(2, 1))
 	g.settle()
-	g.is.True(same(g.machine.state.GetViews()[0].GetPrimary(), agent(2, 1).GetIncarnation()))
+	g.is.True(wire.Same(g.machine.state.GetViews()[0].GetPrimary(), agent(2, 1).GetIncarnation()))
 }
 
 func TestLeavingHandsOver(t *testing.T) {
--- a/lib/control/plan.go
+++ b/lib/control/plan.go
@@ -143,7 +143,7 @@
 			cmp.Compare(p.byID[a.GetId()].shards, p.byID[b.GetId()].shards),
 		)
 	})
-	if same(drop, view.GetPrimary()) {
+	if wire.Same(drop, view.GetPrimary()) {
 		return withPrimary(view, p.heir(view))
 	}
 	return without(view, drop)
--- a/lib/control/view.go
+++ b/lib/control/view.go
@@ -26,11 +26,11 @@
 }
 
 func has(list []*wire.Incarnation, who *wire.Incarnation) bool {
-	return slices.ContainsFunc(list, func(one *wire.Incarnation) bool { return same(one, who) })
+	return slices.ContainsFunc(list, func(one *wire.Incarnation) bool { return wire.Same(one, who) })
 }
 
 func remove(list []*wire.Incarnation, who *wire.Incarnation) []*wire.Incarnation {
-	return slices.DeleteFunc(slices.Clone(list), func(one *wire.Incarnation) bool { return same(one, who) })
+	return slices.DeleteFunc(slices.Clone(list), func(one *wire.Incarnation) bool { return wire.Same(one, who) })
 }
 
 // next returns a copy of view under the epoch after it.
@@ -46,7 +46,7 @@
 	view = next(view)
 	view.Joining = remove(view.GetJoining(), who)
 	view.Backups = remove(view.GetBackups(), who)
-	if !same(view.GetPrimary(), who) {
+	if !wire.Same(view.GetPrimary(), who) {
 		return view
 	}
 	view.Primary = nil
--- a/lib/ledger/directory.go
+++ b/lib/ledger/directory.go
@@ -103,13 +103,9 @@
 
 func contains(list []*wire.Incarnation, who *wire.Incarnation) bool {
 	for _, one := range list {
-		if same(one, who) {
+		if wire.Same(one, who) {
 			return true
 		}
 	}
 	return false
 }
-
-func same(a, b *wire.Incarnation) bool {
-	return a.GetNumber() == b.GetNumber() && a.GetId() == b.GetId()
-}
--- a/lib/ledger/freed.go
+++ b/lib/ledger/freed.go
@@ -13,7 +13,7 @@
 // has tells whether a claim was given back, or is older than one that was.
 func (f freed) has(who *wire.Incarnation, claim uint64) bool {
 	return slices.ContainsFunc(f, func(one *wire.Freed) bool {
-		return same(one.GetHolder(), who) && claim <= one.GetClaim()
+		return wire.Same(one.GetHolder(), who) && claim <= one.GetClaim()
 	})
 }
 
@@ -24,7 +24,7 @@
 		return f
 	}
 	kept := slices.DeleteFunc(slices.Clone(f), func(one *wire.Freed) bool {
-		return same(one.GetHolder(), who) || dead(one.GetHolder())
+		return wire.Same(one.GetHolder(), who) || dead(one.GetHolder())
 	})
 	return append(kept, &wire.Freed{Holder: who, Claim: claim})
 }
--- a/lib/ledger/record.go
+++ b/lib/ledger/record.go
@@ -49,7 +49,7 @@
 
 // heldBy tells whether an incarnation holds the key for the job of a claim.
 func (r *record) heldBy(who *wire.Incarnation, claim uint64) bool {
-	return r != nil && r.state == wire.KeyState_KEY_STATE_HELD && r.claim == claim && same(r.holder, who)
+	return r != nil && r.state == wire.KeyState_KEY_STATE_HELD && r.claim == claim && wire.Same(r.holder, who)
 }
 
 // mayHold tells whether an incarnation may hold the key now: it is free, or
@@ -60,7 +60,7 @@
 	case r == nil:
 		return true
 	case r.state == wire.KeyState_KEY_STATE_HELD:
-		return same(r.holder, who) && claim > r.claim && len(r.former) == 0
+		return wire.Same(r.holder, who) && claim > r.claim && len(r.former) == 0
 	case r.state == wire.KeyState_KEY_STATE_FINISHED, r.state == wire.KeyState_KEY_STATE_REFUSED && !idempotent:
 		return false
 	}
--- a/lib/ledger/replica.go
+++ b/lib/ledger/replica.go
@@ -120,7 +120,7 @@
 // enterPrimary is enter for requests that only the primary serves.
 func (r *Replica) enterPrimary(ctx context.Context, number uint32, epoch uint64) (*shard, *wire.View, wire.LedgerError) {
 	s, view, code := r.enter(ctx, number, epoch)
-	if code == wire.LedgerError_LEDGER_ERROR_NONE && !same(view.GetPrimary(), r.self) {
+	if code == wire.LedgerError_LEDGER_ERROR_NONE && !wire.Same(view.GetPrimary(), r.self) {
 		return nil, nil, r.refuse("notPrimary", wire.LedgerError_LEDGER_ERROR_STALE_VIEW)
 	}
 	return s, view, code
@@ -159,7 +159,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.holders[who.GetNumber()]
-	if known == nil || !same(known, who) {
+	if known == nil || !wire.Same(known, who) {
 		known = &wire.Incarnation{Id: who.GetId(), Number: who.GetNumber()}
 		r.holders[who.GetNumber()] = known
 	}
--- a/lib/ledger/replicate.go
+++ b/lib/ledger/replicate.go
@@ -107,7 +107,7 @@
 	switch {
 	case code != wire.LedgerError_LEDGER_ERROR_NONE:
 		return &wire.ReplicateReply{Error: code}, nil
-	case view.GetEpoch() != q.GetEpoch() || !same(view.GetPrimary(), q.GetPrimary()) || !contains(others(view), r.self):
+	case view.GetEpoch() != q.GetEpoch() || !wire.Same(view.GetPrimary(), q.GetPrimary()) || !contains(others(view), r.self):
 		return &wire.ReplicateReply{Error: r.refuse("staleView", wire.LedgerError_LEDGER_ERROR_STALE_VIEW)}, nil
 	}
 	return &wire.ReplicateReply{Error: r.store(s, q, next)}, nil
--- a/lib/ledger/shard.go
+++ b/lib/ledger/shard.go
@@ -33,7 +33,7 @@
 	if view.GetEpoch() <= s.epoch {
 		return
 	}
-	named := same(view.GetPrimary(), self) || contains(others(view), self)
+	named := wire.Same(view.GetPrimary(), self) || contains(others(view), self)
 	if !named || view.GetLostAtMillis() != s.lostAt {
 		clear(s.records)
 	}
--- a/lib/ledger/sweep.go
+++ b/lib/ledger/sweep.go
@@ -81,7 +81,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for _, view := range directory.GetViews() {
-		if !same(view.GetPrimary(), r.self) {
+		if !wire.Same(view.GetPrimary(), r.self) {
 			continue
 		}
 		s := r.shard(view.GetShard())
--- a/lib/ledger/write.go
+++ b/lib/ledger/write.go
@@ -100,7 +100,7 @@
 // takeOver gives the key of a lost entry to another.
 func (r *Replica) takeOver(q *wire.HoldRequest) change {
 	return func(_ *shard, old *record) (*record, wire.LedgerError) {
-		if !old.taken() || old.state != wire.KeyState_KEY_STATE_HELD || same(old.holder, q.GetHolder()) {
+		if !old.taken() || old.state != wire.KeyState_KEY_STATE_HELD || wire.Same(old.holder, q.GetHolder()) {
 			return nil, wire.LedgerError_LEDGER_ERROR_NONE
 		}
 		if !r.book.isDead(r.directory.Directory(), old.holder) {
