An entry that is cut off answers refused callers within five seconds

Cause: a refusal is told only once the ledger has confirmed it, and the caller waited for that until the job's deadline. Change: five seconds, until anything is known of the key; then unknownOutcome. Ruled out: a shorter wait for the outcome itself, which would give up on a key that runs at another entry.

--- a/lib/entry/record.go
+++ b/lib/entry/record.go
@@ -12,6 +12,11 @@
 // for the record of the outcome.
 const answerGrace = 5 * time.Second
 
+// refusalPatience is how long the caller of a refused submission waits for the
+// ledger to tell of its key, so that an entry that is cut off does not keep its
+// callers from others.
+const refusalPatience = 5 * time.Second
+
 // answer runs a submission, or joins the run of its key, and tells the outcome.
 func (e *Entry) answer(ctx context.Context, w http.ResponseWriter, s *submission) {
 	if refused := e.admit(s.spec); refused != nil {
@@ -36,7 +41,7 @@
 			e.begin(j)
 		}
 		p := &pursuit{e: e, w: w, s: s, job: j}
-		if p.answered(ctx, patience.C) {
+		if !p.heard(ctx) || p.answered(ctx, patience.C) {
 			return
 		}
 	}
@@ -73,6 +78,17 @@
 	job *job
 }
 
+// heard waits, for a refusal, until the ledger has told of the key. It returns
+// false where the caller went away or was told that nothing is known.
+func (p *pursuit) heard(ctx context.Context) bool {
+	if p.job.refused == nil {
+		return true
+	}
+	patience := time.NewTimer(refusalPatience)
+	defer patience.Stop()
+	return p.await(ctx, p.job.known, patience.C)
+}
+
 // answered waits for the job and answers the caller. It returns false where
 // the key is to be tried anew.
 func (p *pursuit) answered(ctx context.Context, patience <-chan time.Time) bool {
