Call what stands already: one retry of operators' calls, one clock skew, one comparison

Cause: read over the whole change: try had a retry loop of its own beside ask, the bound on clock skew stood in two packages, and a delta compared incarnations by hand. Change: ask, ledger.MaxClockSkew and wire.Same serve all.

--- a/internal/cmd/cmd_try.go
+++ b/internal/cmd/cmd_try.go
@@ -80,12 +80,16 @@
 		ChangeId: rand.Text(), Author: "try",
 		Services: []*wire.Service{{Name: tryService, Kinds: []*wire.Kind{kind}}},
 	}
-	control := wire.NewControlProtobufClient("http://"+s.Control(), e.client)
-	reply, err := retryPublish(e.ctx, control, request)
+	hosts := controlFlag{Control: []string{s.Control()}, Timeout: tryPatience}
+	reply, err := ask(e, hosts, func(ctx context.Context, control wire.Control) (*wire.PublishReply, error) {
+		return control.Publish(ctx, request)
+	})
 	if err != nil {
 		return &Error{Op: "try", Kind: KindFailed, Err: eris.Wrap(err, "publishing failed")}
 	}
-	hosts := controlFlag{Control: []string{s.Control()}, Timeout: tryPatience}
+	if !reply.GetAccepted() {
+		return &Error{Op: "try", Kind: KindFailed, Err: refusal(reply)}
+	}
 	found, err := hosts.awaitForce(e, reply.GetVersion())
 	if err != nil {
 		return err
@@ -97,23 +101,6 @@
 	return nil
 }
 
-// retryPublish sends the same change until the group has a leader.
-func retryPublish(ctx context.Context, control wire.Control, request *wire.PublishRequest) (*wire.PublishReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryPatience)
-	defer cancel()
-	for {
-		reply, err := control.Publish(ctx, request)
-		if err == nil && reply.GetAccepted() {
-			return reply, nil
-		}
-		select {
-		case <-ctx.Done():
-			return nil, eris.Wrap(ctx.Err(), "the control host did not accept the change")
-		case <-time.After(tryPause):
-		}
-	}
-}
-
 // waitReady waits until every entry takes work.
 func waitReady(e *env, s *system.System) error {
 	ctx, cancel := context.WithTimeout(e.ctx, tryPatience)
--- a/lib/entry/census.go
+++ b/lib/entry/census.go
@@ -5,12 +5,10 @@
 	"sync"
 	"time"
 
+	"skylarklane.example/lib/ledger"
 	"skylarklane.example/lib/wire"
 )
 
-// maxClockSkew is how far the clocks of two hosts may lie apart.
-const maxClockSkew = 5 * time.Second
-
 // census remembers which agents there were, and when each was gone at the
 // latest. It is needed to prove that a task never started: every agent that
 // was a member in the time of a job must say so.
@@ -95,7 +93,7 @@
 	}
 	all = true
 	for _, at := range c.gone {
-		all = all && at.Before(heldAt.Add(-maxClockSkew))
+		all = all && at.Before(heldAt.Add(-ledger.MaxClockSkew))
 	}
 	return agents, all
 }
--- a/lib/entry/remember.go
+++ b/lib/entry/remember.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarklane.example/lib/ledger"
 	tasks "skylarklane.example/lib/task"
 	"skylarklane.example/lib/wire"
 )
@@ -10,7 +11,7 @@
 // remembered tells whether agents still know of every task that was started
 // since a time, so that one they don't know of never started.
 func remembered(since, now time.Time) bool {
-	return now.Sub(since) < tasks.KeepTime-maxClockSkew
+	return now.Sub(since) < tasks.KeepTime-ledger.MaxClockSkew
 }
 
 // stateOf returns what an agent's answer proves about a task; unspecified
--- a/lib/entry/remember_test.go
+++ b/lib/entry/remember_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"skylarklane.example/lib/ledger"
 	tasks "skylarklane.example/lib/task"
 	"skylarklane.example/lib/wire"
 )
@@ -21,7 +22,7 @@
 	}{
 		{"young, not started", wire.TaskState_TASK_STATE_NOT_STARTED, time.Second, wire.TaskState_TASK_STATE_NOT_STARTED},
 		{"old, not started", wire.TaskState_TASK_STATE_NOT_STARTED, tasks.KeepTime, wire.TaskState_TASK_STATE_UNSPECIFIED},
-		{"old, clocks apart", wire.TaskState_TASK_STATE_NOT_STARTED, tasks.KeepTime - maxClockSkew, wire.TaskState_TASK_STATE_UNSPECIFIED},
+		{"old, clocks apart", wire.TaskState_TASK_STATE_NOT_STARTED, tasks.KeepTime - ledger.MaxClockSkew, wire.TaskState_TASK_STATE_UNSPECIFIED},
 		{"old, done", wire.TaskState_TASK_STATE_DONE, tasks.KeepTime, wire.TaskState_TASK_STATE_DONE},
 	}
 	for _, test := range tests {
--- a/lib/ledger/key.go
+++ b/lib/ledger/key.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// maxClockSkew is how far the clocks of callers and hosts may lie apart for a
+// MaxClockSkew is how far the clocks of callers and hosts may lie apart for a
 // stamp to prove anything.
-const maxClockSkew = 5 * time.Second
+const MaxClockSkew = 5 * time.Second
 
 // Shard returns the shard of a key among n shards.
 func Shard(key string, n int) uint32 {
@@ -61,10 +61,10 @@
 // its members. Submissions that are provably younger were
 // not; a stamp in the future proves nothing.
 func mayBeLost(stamp, lostAtMillis int64, retention time.Duration, now time.Time) bool {
-	if lostAtMillis == 0 || now.UnixMilli() > lostAtMillis+(retention+2*maxClockSkew).Milliseconds() {
+	if lostAtMillis == 0 || now.UnixMilli() > lostAtMillis+(retention+2*MaxClockSkew).Milliseconds() {
 		return false
 	}
-	early := stamp <= lostAtMillis+maxClockSkew.Milliseconds()
-	late := stamp > now.Add(maxClockSkew).UnixMilli()
+	early := stamp <= lostAtMillis+MaxClockSkew.Milliseconds()
+	late := stamp > now.Add(MaxClockSkew).UnixMilli()
 	return stamp == 0 || early || late
 }
--- a/lib/ledger/record.go
+++ b/lib/ledger/record.go
@@ -95,7 +95,7 @@
 	case wire.KeyState_KEY_STATE_RELEASED:
 		return now.UnixMilli()-r.finishedAt > tombstoneTime.Milliseconds()
 	default:
-		return now.UnixMilli()-r.finishedAt > (retention + 2*maxClockSkew).Milliseconds()
+		return now.UnixMilli()-r.finishedAt > (retention + 2*MaxClockSkew).Milliseconds()
 	}
 }
 
--- a/lib/membership/delta.go
+++ b/lib/membership/delta.go
@@ -65,6 +65,6 @@
 
 func has(list []*wire.Incarnation, who *wire.Incarnation) bool {
 	return slices.ContainsFunc(list, func(one *wire.Incarnation) bool {
-		return one.GetId() == who.GetId() && one.GetNumber() == who.GetNumber()
+		return wire.Same(one, who)
 	})
 }
