Control group: founding from seeds, declared versions, confirmed reads

Cause: machines of a platform are told three seeds and nothing else, and one that lost its place must not end its process. Change: hosts found the group from seeds, join and leave it by themselves, and rejoin in place (quorum.Host); relays without a disk; Newest by a round of heartbeats; declared versions; members rejoin under a new incarnation. A caller whose deadline passes no longer waits for a halted loop, and shares nothing with it. Ruled out: founding with different sets of hosts (two groups could both have a quorum); reads of the newest change by the leader's clock.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"skylarklane.example/lib/link"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/quorum"
 	"skylarklane.example/lib/wire"
@@ -23,7 +25,13 @@
 	// decisionsPerLease is how often in a lease the leader looks for decisions.
 	decisionsPerLease = 8
 	// proposeTimeout bounds the wait for a decision to be committed.
-	proposeTimeout = 10 * time.Second
+	proposeTimeout = 2500 * time.Millisecond
+	// publishAttempt bounds one attempt at the leader.
+	publishAttempt = 1200 * time.Millisecond
+	// retryPause is the wait before the leader is looked for again.
+	retryPause = 50 * time.Millisecond
+	// defaultLease of members, where the settings name none.
+	defaultLease = 2 * time.Second
 )
 
 // Control is one host of the control group.
@@ -34,37 +42,60 @@
 	scope  tally.Scope
 	page   http.Handler
 	hooks  *twirp.ServerHooks
-	node   *quorum.Node
+	node   quorum.Group
+	// hosts are the group's, as last seen.
+	hosts atomic.Pointer[hostList]
 	// state belongs to the node's goroutine.
 	state *state
 }
 
-// New returns a control host on its data folder. Run starts it. The error says
-// what is wrong with the folder or the settings.
+// hostList is the addresses of a group's hosts.
+type hostList struct {
+	version   uint64
+	addresses []string
+}
+
+// New returns a control host on its data folder. Run starts it. Without a
+// folder it is a relay, which passes calls on to the group. The error says what
+// is wrong with the folder or the settings.
 func New(cfg *wire.ControlSettings, folder quorum.Folder, client *http.Client, log *slog.Logger, metrics *metric.Registry) (*Control, error) {
-	if cfg.GetLeaseMillis() <= 0 || cfg.GetShards() == 0 {
-		return nil, &Error{Op: "start", Kind: KindSettings, Err: eris.New("leaseMillis and shards must be set")}
+	if folder == nil && len(cfg.GetSeeds()) == 0 {
+		return nil, &Error{Op: "start", Kind: KindSettings, Err: eris.New("a host without dataFolder needs seeds")}
 	}
 	c := &Control{
 		cfg:    cfg,
-		client: client,
+		client: link.Client(client),
 		log:    log,
 		scope:  metrics.Scope(),
 		page:   metrics.Handler(),
 		hooks:  metrics.Hooks(),
-		state:  &state{machine: newMachine(), leases: newLeases(time.Duration(cfg.GetLeaseMillis()) * time.Millisecond)},
+		state:  &state{machine: newMachine(), leases: newLeases(leaseOf(cfg))},
 	}
-	peers := hosts(cfg)
-	node, err := quorum.New(quorum.Config{ID: cfg.GetId(), Peers: peers}, quorum.NewClient(client, peers), folder, c.state.machine, log)
-	if err != nil {
-		return nil, err
+	c.hosts.Store(&hostList{})
+	return c, c.join(folder)
+}
+
+// join makes this host's part of the group.
+func (c *Control) join(folder quorum.Folder) error {
+	cfg := quorum.Config{
+		ID: c.cfg.GetId(), Peers: peers(c.cfg), Seeds: c.cfg.GetSeeds(), Address: address(c.cfg),
+		Found: c.cfg.GetFound(), Tolerated: int(c.cfg.GetToleratedLosses()), Now: c.now,
+	}
+	transport := quorum.NewClient(c.client, cfg.Peers)
+	var err error
+	switch {
+	case folder == nil:
+		c.node = quorum.NewRelay(cfg, transport, c.log)
+	case c.cfg.GetRejoin():
+		c.node, err = quorum.NewHost(cfg, transport, folder, c.state.machine, c.log)
+	default:
+		c.node, err = quorum.New(cfg, transport, folder, c.state.machine, c.log)
 	}
-	c.node = node
-	return c, nil
+	return err
 }
 
-// hosts lists the hosts of the first group.
-func hosts(cfg *wire.ControlSettings) []*wire.LogHost {
+// peers lists the hosts of the first group.
+func peers(cfg *wire.ControlSettings) []*wire.LogHost {
 	var found []*wire.LogHost
 	for _, peer := range cfg.GetPeers() {
 		found = append(found, &wire.LogHost{Id: peer.GetId(), Address: peer.GetAddress()})
@@ -72,6 +103,20 @@
 	return found
 }
 
+// address is where the others reach this host.
+func address(cfg *wire.ControlSettings) string {
+	if cfg.GetAdvertise() != "" {
+		return cfg.GetAdvertise()
+	}
+	return cfg.GetListen()
+}
+
+// SetSeeds puts other seeds in the place of the ones in force.
+func (c *Control) SetSeeds(ctx context.Context, seeds []string) error {
+	c.log.Info("The seeds are set.", "seeds", seeds)
+	return c.node.SetSeeds(ctx, seeds)
+}
+
 // Run takes part in the group until ctx ends, which is no error, or until the
 // data folder fails.
 func (c *Control) Run(ctx context.Context) error {
@@ -126,7 +171,7 @@
 // read runs f while this host leads and is current.
 func (c *Control) read(ctx context.Context, f func(s *state, now time.Time)) error {
 	return c.node.Read(ctx, func(term uint64) {
-		now := time.Now()
+		now := c.now()
 		c.state.lead(term, now)
 		f(c.state, now)
 	})
@@ -163,6 +208,11 @@
 	return e.Address
 }
 
-func (c *Control) lease() time.Duration {
-	return time.Duration(c.cfg.GetLeaseMillis()) * time.Millisecond
+func (c *Control) lease() time.Duration { return leaseOf(c.cfg) }
+
+func leaseOf(cfg *wire.ControlSettings) time.Duration {
+	if cfg.GetLeaseMillis() <= 0 {
+		return defaultLease
+	}
+	return time.Duration(cfg.GetLeaseMillis()) * time.Millisecond
 }
--- a/lib/control/handler.go
+++ b/lib/control/handler.go
@@ -43,12 +43,19 @@
 	}
 }
 
-// measure brings the gauges up to date.
+// measure brings the gauges and the list of hosts up to date.
 func (c *Control) measure(ctx context.Context) {
 	status, err := c.peek(ctx)
 	if err != nil {
 		return
 	}
+	list := &hostList{version: status.GroupVersion}
+	for _, host := range status.Hosts {
+		if host.Address != "" {
+			list.addresses = append(list.addresses, host.Address)
+		}
+	}
+	c.hosts.Store(list)
 	current := 0.0
 	if status.Current {
 		current = 1
@@ -61,7 +68,9 @@
 func (c *Control) peek(ctx context.Context) (quorum.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var status quorum.Status
-	err := c.node.Peek(ctx, func(s quorum.Status) { status = s })
-	return status, err
+	answer := make(chan quorum.Status, 1)
+	if err := c.node.Peek(ctx, func(s quorum.Status) { answer <- s }); err != nil {
+		return quorum.Status{}, err
+	}
+	return <-answer, nil
 }
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -17,6 +17,8 @@
 	maxChanges = 8192
 	// maxContents bounds how many changes are kept with their content.
 	maxContents = 128
+	// maxContentBytes bounds what these take together.
+	maxContentBytes = 4 << 20
 )
 
 // machine is the state that the control group agrees upon. It changes by
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -29,6 +29,7 @@
 			c.scope.Counter("renew_refused_dead").Inc(1)
 		}
 		if reply != nil {
+			c.nameHosts(q, reply)
 			return reply, nil
 		}
 		if _, err := c.propose(ctx, joinCommand(q.GetMember())); err != nil {
@@ -38,6 +39,15 @@
 	return &wire.RenewReply{}, nil
 }
 
+// nameHosts tells a member where the group's hosts are, where it knows others.
+func (c *Control) nameHosts(q *wire.RenewRequest, reply *wire.RenewReply) {
+	list := c.hosts.Load()
+	if list.version != q.GetHostsVersion() {
+		reply.HostsVersion = list.version
+		reply.Hosts = list.addresses
+	}
+}
+
 func (c *Control) renewElsewhere(err error) (*wire.RenewReply, error) {
 	c.scope.Counter("renew_refused_not_leader").Inc(1)
 	return &wire.RenewReply{Leader: c.leaderAddress(err)}, nil
--- a/lib/control/operator.go
+++ b/lib/control/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"net/http"
 	"net/netip"
@@ -14,8 +16,12 @@
 	"skylarklane.example/lib/wire"
 )
 
-// maxChangeID bounds the length of a change id, in bytes.
-const maxChangeID = 128
+const (
+	// maxChangeID bounds the length of a change id, in bytes.
+	maxChangeID = 128
+	// maxSourceBytes bounds the document that a change was published with.
+	maxSourceBytes = 8 << 20
+)
 
 // forwardedHeader marks a call that another host has passed on.
 const forwardedHeader = "Skylarklane-Forwarded"
@@ -26,13 +32,22 @@
 // Publish implements wire.Control. An error means that the change may or may
 // not be accepted: the same change id gets the answer.
 func (c *Control) Publish(ctx context.Context, q *wire.PublishRequest) (*wire.PublishReply, error) {
-	if q.GetChangeId() == "" || len(q.GetChangeId()) > maxChangeID {
+	if (q.GetChangeId() == "" && q.GetDeclaredVersion() == 0) || len(q.GetChangeId()) > maxChangeID {
 		return nil, twirp.InvalidArgumentError("change_id", "must have 1 to 128 bytes")
 	}
+	if len(q.GetSource()) > maxSourceBytes {
+		return nil, twirp.InvalidArgumentError("source", "is too large")
+	}
 	if err := service.Check(q.GetServices(), q.GetTeams()); err != nil {
 		c.refused(reasonInvalid)
+		c.log.Warn("Refused an invalid configuration.", "declared", q.GetDeclaredVersion(), "changeId", q.GetChangeId(), "error", err)
 		return &wire.PublishReply{Reason: reasonInvalid, Detail: err.Error()}, nil
 	}
+	return untilDone(ctx, c, proposeTimeout, publishAttempt, func(ctx context.Context) (*wire.PublishReply, error) { return c.publishOnce(ctx, q) })
+}
+
+// publishOnce proposes a change here, or has the leader do so.
+func (c *Control) publishOnce(ctx context.Context, q *wire.PublishRequest) (*wire.PublishReply, error) {
 	reply, err := c.propose(ctx, &wire.Command{Command: &wire.Command_Publish{Publish: q}})
 	if address := c.leaderAddress(err); address != "" {
 		return forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.PublishReply, error) {
@@ -45,9 +60,53 @@
 	if !reply.GetAccepted() {
 		c.refused(reply.GetReason())
 	}
+	c.log.Info("Answered a change of the configuration.", "accepted", reply.GetAccepted(), "version", reply.GetVersion(),
+		"declared", q.GetDeclaredVersion(), "changeId", q.GetChangeId(), "sourceDigest", shortDigest(q.GetSource()), "reason", reply.GetReason())
 	return reply, nil
 }
 
+// shortDigest tells sources apart in logs.
+func shortDigest(source []byte) string {
+	sum := sha256.Sum256(source)
+	return hex.EncodeToString(sum[:6])
+}
+
+// untilDone tries an idempotent call until it is answered or time is up.
+func untilDone[R any](ctx context.Context, c *Control, timeout, attemptTimeout time.Duration, call func(context.Context) (R, error)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for {
+		attempt, cancelAttempt := context.WithTimeout(ctx, attemptTimeout)
+		reply, err := call(attempt)
+		cancelAttempt()
+		if err == nil || isForwarded(ctx) || !retryable(err) {
+			return reply, err
+		}
+		c.scope.Counter("operator_retries").Inc(1)
+		select {
+		case <-ctx.Done():
+			return reply, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// retryable tells whether an answer says nothing about the call.
+func retryable(err error) bool {
+	var e twirp.Error
+	if !errors.As(err, &e) {
+		return true
+	}
+	return e.Code() == twirp.Unavailable || e.Code() == twirp.Internal || e.Code() == twirp.DeadlineExceeded || e.Code() == twirp.Canceled
+}
+
+// isForwarded tells whether another host has passed the call on; it is the one
+// that tries again.
+func isForwarded(ctx context.Context) bool {
+	header, _ := ctx.Value(headerKey{}).(http.Header)
+	return header.Get(forwardedHeader) != ""
+}
+
 // History implements wire.Control.
 func (c *Control) History(ctx context.Context, q *wire.HistoryRequest) (*wire.HistoryReply, error) {
 	var kept []*wire.KeptChange
@@ -72,10 +131,11 @@
 // Status implements wire.Control. A host that cannot ask the leader tells what
 // it has, and that this may be old.
 func (c *Control) Status(ctx context.Context, q *wire.StatusRequest) (*wire.StatusReply, error) {
-	reply := &wire.StatusReply{Id: c.cfg.GetId(), Current: true}
+	answer := make(chan *wire.StatusReply, 1)
 	err := c.read(ctx, func(s *state, now time.Time) {
-		reply.Directory = s.machine.directory()
-		reply.Members = s.leases.status(s.machine.state.GetMembers(), now)
+		answer <- &wire.StatusReply{
+			Directory: s.machine.directory(), Members: s.leases.status(s.machine.state.GetMembers(), now),
+		}
 	})
 	if address := c.leaderAddress(err); address != "" {
 		passed, err := forward(ctx, c, address, func(ctx context.Context, leader wire.Control) (*wire.StatusReply, error) {
@@ -85,14 +145,21 @@
 			return passed, nil
 		}
 	}
-	if err != nil {
-		reply.Current = false
+	reply := &wire.StatusReply{}
+	if err == nil {
+		reply = <-answer
+		reply.Current = true
 	}
-	err = c.node.Peek(ctx, func(status quorum.Status) { c.describe(reply, status) })
+	reply.Id = c.cfg.GetId()
+	described := make(chan *wire.StatusReply, 1)
+	err = c.node.Peek(ctx, func(status quorum.Status) {
+		c.describe(reply, status)
+		described <- reply
+	})
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return reply, nil
+	return <-described, nil
 }
 
 // describe adds what this host knows of the group.
@@ -156,7 +223,7 @@
 func forward[R any](ctx context.Context, c *Control, address string, call func(context.Context, wire.Control) (R, error)) (R, error) {
 	var none R
 	header, _ := ctx.Value(headerKey{}).(http.Header)
-	if header.Get(forwardedHeader) != "" {
+	if isForwarded(ctx) {
 		return none, twirp.Unavailable.Error("nothing was done: the leader has changed")
 	}
 	passed := http.Header{}
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"skylarklane.example/lib/link"
 	"skylarklane.example/lib/wire"
 )
 
@@ -20,23 +21,40 @@
 	firstInterval = 500 * time.Millisecond
 	// renewalsPerLease is how often a lease is renewed while it runs.
 	renewalsPerLease = 4
-	renewTimeout     = time.Second
+	// maxInterval bounds the time between renewals, so that a change is soon
+	// followed everywhere.
+	maxInterval  = 350 * time.Millisecond
+	renewTimeout = 700 * time.Millisecond
+	// roundPause is the wait after all hosts were asked in vain.
+	roundPause = 100 * time.Millisecond
 )
 
 // Follower renews one member's lease and keeps the newest directory.
 type Follower struct {
-	client  *http.Client
-	control []string
-	log     *slog.Logger
-
-	mu         sync.Mutex
-	member     *wire.Member
-	directory  *wire.Directory
-	validUntil time.Time
-	lease      time.Duration
-	changed    chan struct{}
-	dead       chan struct{}
-	buried     bool
+	client *http.Client
+	log    *slog.Logger
+
+	mu sync.Mutex
+	// seeds are the control hosts of the settings, hosts those that the group
+	// has named.
+	seeds        []string
+	hosts        []string
+	hostsVersion uint64
+	member       *wire.Member
+	// rejoined is told of each new incarnation; without it a dead member ends.
+	rejoined func(*wire.Incarnation)
+	// joining is set until this incarnation has a lease.
+	joining bool
+	// lost is set while no control host has answered.
+	lost         bool
+	heardAt      time.Time
+	configuredAt time.Time
+	directory    *wire.Directory
+	validUntil   time.Time
+	lease        time.Duration
+	changed      chan struct{}
+	dead         chan struct{}
+	buried       bool
 	// leader is the host that is thought to lead, next the one to ask where
 	// none is.
 	leader string
@@ -47,8 +65,9 @@
 // addresses. Run starts it.
 func New(client *http.Client, control []string, member *wire.Member, log *slog.Logger) *Follower {
 	return &Follower{
-		client:    client,
-		control:   control,
+		client:    link.Client(client),
+		seeds:     control,
+		joining:   true,
 		log:       log,
 		member:    member,
 		directory: &wire.Directory{},
@@ -115,7 +134,8 @@
 }
 
 // Dead returns a channel that is closed once the control group has declared
-// this incarnation dead. It never is a member again: the process must end.
+// this incarnation dead, unless the member rejoins. It never is a member again:
+// the process must end.
 func (f *Follower) Dead() <-chan struct{} { return f.dead }
 
 func (f *Follower) loop(ctx context.Context) {
@@ -135,19 +155,27 @@
 func (f *Follower) interval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lease == 0 {
+	switch {
+	case f.lost:
+		return roundPause
+	case f.lease == 0:
 		return firstInterval
 	}
-	return f.lease / renewalsPerLease
+	return min(f.lease/renewalsPerLease, maxInterval)
 }
 
 // renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
-	for range 2 * len(f.control) {
-		if ctx.Err() != nil || f.renewAt(ctx, f.target()) {
+	for range 2 * len(f.addresses()) {
+		if ctx.Err() != nil {
+			return
+		}
+		if f.renewAt(ctx, f.target()) {
+			f.regain()
 			return
 		}
 	}
+	f.lose(ctx)
 }
 
 // target returns the host to ask next.
@@ -157,7 +185,11 @@
 	if f.leader != "" {
 		return f.leader
 	}
-	address := f.control[f.next%len(f.control)]
+	all := f.allAddresses()
+	if len(all) == 0 {
+		return ""
+	}
+	address := all[f.next%len(all)]
 	f.next++
 	return address
 }
@@ -167,15 +199,14 @@
 	defer cancel()
 	sentAt := time.Now()
 	directory := f.Directory()
-	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Renew(ctx, &wire.RenewRequest{
-		Member:           f.Member(),
-		DirectoryVersion: directory.GetVersion(),
-		ConfigVersion:    directory.GetConfigVersion(),
-		Deltas:           true,
-	})
+	q := f.request(directory)
+	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Renew(ctx, q)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader = reply.GetLeader()
+	if !wire.Same(q.GetMember().GetIncarnation(), f.member.GetIncarnation()) {
+		return true
+	}
 	if err != nil || reply.GetLeaseMillis() == 0 {
 		f.stopIfDead(reply)
 		return reply.GetDead()
@@ -185,10 +216,27 @@
 	return true
 }
 
+// request asks for what is newer than a directory. An incarnation that has no
+// lease yet asks for all: else it would count as one that was a member before.
+func (f *Follower) request(directory *wire.Directory) *wire.RenewRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion}
+	if !f.joining {
+		q.DirectoryVersion = directory.GetVersion()
+		q.ConfigVersion = directory.GetConfigVersion()
+	}
+	return q
+}
+
 func (f *Follower) stopIfDead(reply *wire.RenewReply) {
 	if !reply.GetDead() || f.buried {
 		return
 	}
+	if f.rejoined != nil {
+		f.rejoin()
+		return
+	}
 	f.buried = true
 	f.validUntil = time.Time{}
 	f.log.Error("The control group has declared this process dead.")
@@ -201,6 +249,11 @@
 		return
 	}
 	f.lease = time.Duration(reply.GetLeaseMillis()) * time.Millisecond
+	f.joining = false
+	f.heardAt = time.Now()
+	if reply.GetHostsVersion() > 0 {
+		f.hosts, f.hostsVersion = reply.GetHosts(), reply.GetHostsVersion()
+	}
 	if until := sentAt.Add(f.lease); until.After(f.validUntil) {
 		f.validUntil = until
 	}
@@ -211,6 +264,10 @@
 	if newest.GetVersion() <= f.directory.GetVersion() {
 		return
 	}
+	if newest.GetConfigVersion() != f.directory.GetConfigVersion() {
+		f.configuredAt = f.heardAt
+		f.log.Info("A configuration is in force.", "version", newest.GetConfigVersion(), "before", f.directory.GetConfigVersion())
+	}
 	f.directory = newest
 	close(f.changed)
 	f.changed = make(chan struct{})
--- /dev/null
+++ b/lib/membership/hosts.go
@@ -0,0 +1,103 @@
+package membership
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"skylarklane.example/lib/wire"
+)
+
+// SetSeeds puts other control hosts in the place of those of the settings.
+// Those that the group has named stay known.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(seeds) > 0 {
+		f.seeds = slices.Clone(seeds)
+	}
+}
+
+// HeardAt returns when the control group last answered, the zero time if never.
+func (f *Follower) HeardAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heardAt
+}
+
+// ConfiguredAt returns when the configuration last changed here, the zero time
+// if none is known.
+func (f *Follower) ConfiguredAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.configuredAt
+}
+
+// Rejoin has a member that is declared dead go on under a new incarnation,
+// which f is told of before it is announced. Call it before Run.
+func (f *Follower) Rejoin(rejoined func(*wire.Incarnation)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rejoined = rejoined
+}
+
+// rejoin makes this member another incarnation. It gives f.mu free while it
+// tells of it.
+func (f *Follower) rejoin() {
+	old := f.member.GetIncarnation()
+	who := NewIncarnation(old.GetId())
+	f.member = &wire.Member{
+		Incarnation: who,
+		Role:        f.member.GetRole(),
+		Address:     f.member.GetAddress(),
+		DataCentre:  f.member.GetDataCentre(),
+		Rack:        f.member.GetRack(),
+		Leaving:     f.member.GetLeaving(),
+	}
+	f.joining = true
+	f.validUntil = time.Time{}
+	f.log.Warn("The control group has declared this member dead; it joins again.", "before", old.GetNumber(), "now", who.GetNumber())
+	f.mu.Unlock()
+	f.rejoined(who)
+	f.mu.Lock()
+}
+
+// addresses lists whom to ask.
+func (f *Follower) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.allAddresses()
+}
+
+// allAddresses lists the hosts that the group has named, and the seeds.
+func (f *Follower) allAddresses() []string {
+	all := slices.Clone(f.hosts)
+	for _, seed := range f.seeds {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	return all
+}
+
+// lose takes note that no control host grants a lease.
+func (f *Follower) lose(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost || ctx.Err() != nil {
+		return
+	}
+	f.lost = true
+	f.log.Warn("No control host grants a lease.", "asked", len(f.allAddresses()), "heardAt", f.heardAt, "directory", f.directory.GetVersion())
+}
+
+// regain takes note that one does again.
+func (f *Follower) regain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.log.Info("A control host grants a lease again.", "leader", f.leader)
+}
--- a/lib/quorum/config.go
+++ b/lib/quorum/config.go
@@ -15,7 +15,8 @@
 	Apply(index uint64, command []byte) any
 	// Snapshot encodes the whole state.
 	Snapshot() []byte
-	// Restore replaces the whole state by a snapshot.
+	// Restore replaces the whole state by a snapshot; an empty one stands for
+	// the state before the first command.
 	Restore(snapshot []byte) error
 }
 
@@ -41,7 +42,7 @@
 
 // DefaultTiming suits hosts a few milliseconds apart.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 100 * time.Millisecond, Election: time.Second, Install: 30 * time.Second}
+	return Timing{Heartbeat: 100 * time.Millisecond, Election: 500 * time.Millisecond, Install: 5 * time.Second}
 }
 
 // Config describes one host of a group.
@@ -51,6 +52,22 @@
 	// Peers are the hosts that found the group, this one included. None, or
 	// this one alone, is a group of one.
 	Peers []*wire.LogHost
+	// Seeds are addresses, in place of Peers: the hosts behind them found the
+	// group, and any other host with an Address joins it by itself.
+	Seeds []string
+	// Address at which the others reach this host; needed with Seeds.
+	Address string
+	// Found is set at the first start of the whole system alone: a host whose
+	// folder was made then may found the group.
+	Found bool
+	// Tolerated losses: a host that stays away for RemoveAfter is removed where
+	// at least twice as many and one remain; 1 where it is 0. With Seeds only.
+	Tolerated int
+	// RemoveAfter is 10 s where it is 0.
+	RemoveAfter time.Duration
+	// Now is the clock, time.Now where it is nil. It should count the time
+	// during which the machine is suspended.
+	Now func() time.Time
 	// Timing is DefaultTiming where it is empty.
 	Timing Timing
 	// CompactBytes is the size of the log at which a snapshot takes its place;
@@ -58,7 +75,14 @@
 	CompactBytes int
 }
 
-const defaultCompactBytes = 1 << 20
+const (
+	defaultCompactBytes = 1 << 20
+	defaultRemoveAfter  = 10 * time.Second
+	defaultTolerated    = 1
+)
+
+// seeded tells whether the group is founded and joined by its seeds.
+func (c Config) seeded() bool { return len(c.Seeds) > 0 }
 
 func (c Config) withDefaults() Config {
 	if c.Timing == (Timing{}) {
@@ -67,6 +91,15 @@
 	if c.CompactBytes == 0 {
 		c.CompactBytes = defaultCompactBytes
 	}
+	if c.RemoveAfter == 0 {
+		c.RemoveAfter = defaultRemoveAfter
+	}
+	if c.Tolerated == 0 {
+		c.Tolerated = defaultTolerated
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
 	return c
 }
 
@@ -80,7 +113,9 @@
 	Current bool
 	// Founded is unset where this host belongs to no group yet.
 	Founded bool
-	Hosts   []HostStatus
+	// Group version is the log index of the newest membership.
+	GroupVersion uint64
+	Hosts        []HostStatus
 }
 
 // HostStatus is what a host knows of another.
--- a/lib/quorum/election.go
+++ b/lib/quorum/election.go
@@ -62,7 +62,7 @@
 // the group knows.
 func (n *Node) takeVote(host *wire.LogHost, q *wire.VoteRequest, reply *wire.VoteReply) {
 	if reply.GetTerm() > n.store.vote.GetTerm() && !reply.GetGranted() {
-		n.follow(reply.GetTerm(), "", time.Now())
+		n.follow(reply.GetTerm(), "", n.cfg.Now())
 		return
 	}
 	if n.poll == nil || n.poll.pre != q.GetPre() || n.poll.term != q.GetTerm() || !reply.GetGranted() {
@@ -90,17 +90,12 @@
 		return
 	}
 	n.poll = nil
-	n.becomeLeader(time.Now())
+	n.becomeLeader(n.cfg.Now())
 }
 
 // Vote implements wire.Quorum.
 func (n *Node) Vote(ctx context.Context, q *wire.VoteRequest) (*wire.VoteReply, error) {
-	var reply *wire.VoteReply
-	err := n.do(ctx, func() error {
-		reply = n.voteFor(q, time.Now())
-		return nil
-	})
-	return reply, err
+	return answer(ctx, n, func() *wire.VoteReply { return n.voteFor(q, n.cfg.Now()) })
 }
 
 func (n *Node) voteFor(q *wire.VoteRequest, now time.Time) *wire.VoteReply {
--- a/lib/quorum/error.go
+++ b/lib/quorum/error.go
@@ -22,6 +22,9 @@
 	// KindForeign means that the folder is another host's or group's, or that
 	// another one has taken its place.
 	KindForeign
+	// KindReplaced means that the group has gone on without the folder: it may be
+	// made new.
+	KindReplaced
 	// KindBusy means that a change of the membership is under way.
 	KindBusy
 	// KindMember means that a host to add is there, or one to remove is not.
--- a/lib/quorum/follow.go
+++ b/lib/quorum/follow.go
@@ -11,12 +11,7 @@
 
 // Append implements wire.Quorum.
 func (n *Node) Append(ctx context.Context, q *wire.AppendRequest) (*wire.AppendReply, error) {
-	var reply *wire.AppendReply
-	err := n.do(ctx, func() error {
-		reply = n.take(q, time.Now())
-		return nil
-	})
-	return reply, err
+	return answer(ctx, n, func() *wire.AppendReply { return n.take(q, n.cfg.Now()) })
 }
 
 func (n *Node) take(q *wire.AppendRequest, now time.Time) *wire.AppendReply {
--- a/lib/quorum/group.go
+++ b/lib/quorum/group.go
@@ -47,6 +47,13 @@
 	return g
 }
 
+// withoutAddress returns the group that lacks the host at an address.
+func withoutAddress(g *wire.LogGroup, address string) *wire.LogGroup {
+	g = proto.CloneOf(g)
+	g.Hosts = slices.DeleteFunc(g.Hosts, func(h *wire.LogHost) bool { return h.GetAddress() == address })
+	return g
+}
+
 func withoutHost(g *wire.LogGroup, id string) *wire.LogGroup {
 	g = proto.CloneOf(g)
 	g.Hosts = slices.DeleteFunc(g.Hosts, func(h *wire.LogHost) bool { return h.GetId() == id })
--- a/lib/quorum/install.go
+++ b/lib/quorum/install.go
@@ -22,10 +22,12 @@
 	n    *Node
 	host *wire.LogHost
 	q    *wire.InstallRequest
+	// round is the newest when the call was made.
+	round uint64
 }
 
 func (c *installCall) run(ctx context.Context) {
-	sentAt := time.Now()
+	sentAt := c.n.cfg.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.n.cfg.Timing.Install)
 	defer cancel()
 	reply, err := c.n.transport.Install(ctx, c.host, c.q)
@@ -39,18 +41,14 @@
 	}
 	p.failed = false
 	p.ackedAt = sentAt
+	p.round = max(p.round, c.round)
 	p.match = max(p.match, reply.GetMatch())
 	p.next = max(p.next, p.match+1)
 }
 
 // Install implements wire.Quorum.
 func (n *Node) Install(ctx context.Context, q *wire.InstallRequest) (*wire.InstallReply, error) {
-	var reply *wire.InstallReply
-	err := n.do(ctx, func() error {
-		reply = n.takeSnapshot(q, time.Now())
-		return nil
-	})
-	return reply, err
+	return answer(ctx, n, func() *wire.InstallReply { return n.takeSnapshot(q, n.cfg.Now()) })
 }
 
 func (n *Node) takeSnapshot(q *wire.InstallRequest, now time.Time) *wire.InstallReply {
--- a/lib/quorum/quorum.go
+++ b/lib/quorum/quorum.go
@@ -34,7 +34,7 @@
 // KindCorrupt, KindForeign or KindStorage.
 func New(cfg Config, transport Transport, folder Folder, machine Machine, log *slog.Logger) (*Node, error) {
 	cfg = cfg.withDefaults()
-	s, err := openStore(folder, cfg.ID)
+	s, err := openStore(folder, cfg.ID, cfg.Found)
 	if err != nil {
 		return nil, err
 	}
@@ -73,10 +73,11 @@
 
 // Read runs f while this host leads, is current and has applied all that is
 // committed. Nothing else touches the machine meanwhile. term tells one
-// leadership from another.
+// leadership from another. After an error f may still run: leave alone what it
+// touches.
 func (n *Node) Read(ctx context.Context, f func(term uint64)) error {
 	return n.do(ctx, func() error {
-		if !n.current(time.Now()) {
+		if !n.current(n.cfg.Now()) {
 			return n.notLeader("read")
 		}
 		f(n.store.vote.GetTerm())
@@ -87,7 +88,7 @@
 // Peek runs f on what this host has, which may be old.
 func (n *Node) Peek(ctx context.Context, f func(Status)) error {
 	return n.do(ctx, func() error {
-		f(n.status(time.Now()))
+		f(n.status(n.cfg.Now()))
 		return nil
 	})
 }
@@ -123,7 +124,7 @@
 }
 
 func (n *Node) membershipError(id string, isMember bool) error {
-	if !n.current(time.Now()) {
+	if !n.current(n.cfg.Now()) {
 		return n.notLeader("change the group")
 	}
 	text := "the group has no host %s"
@@ -138,7 +139,7 @@
 func (n *Node) loop(ctx context.Context) error {
 	ticker := time.NewTicker(n.cfg.Timing.Heartbeat / 2)
 	defer ticker.Stop()
-	n.begin(ctx, time.Now())
+	n.begin(ctx, n.cfg.Now())
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,7 +149,7 @@
 		case <-ticker.C:
 		}
 		n.drain()
-		n.tick(time.Now())
+		n.tick(n.cfg.Now())
 		if err := n.settle(); err != nil {
 			return err
 		}
@@ -178,6 +179,7 @@
 	if err := n.apply(); err != nil {
 		return err
 	}
+	n.serveConfirms()
 	outputs := n.outputs
 	n.outputs = nil
 	for _, output := range outputs {
@@ -211,11 +213,28 @@
 	select {
 	case err := <-done:
 		return err
+	case <-ctx.Done():
+		return &Error{Op: "wait", Kind: KindInDoubt, Err: ctx.Err()}
 	case <-n.stopped:
 		return &Error{Op: "wait", Kind: KindInDoubt, Err: eris.New("the node has stopped")}
 	}
 }
 
+// answer runs f in the loop and returns its result. A caller that leaves early
+// touches nothing of it.
+func answer[R any](ctx context.Context, n *Node, f func() R) (R, error) {
+	result := make(chan R, 1)
+	err := n.do(ctx, func() error {
+		result <- f()
+		return nil
+	})
+	if err != nil {
+		var none R
+		return none, err
+	}
+	return <-result, nil
+}
+
 // output keeps f until all that is changed so far is synced.
 func (n *Node) output(f func()) { n.outputs = append(n.outputs, f) }
 
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -23,6 +23,12 @@
 	sentAt time.Time
 	// ackedAt is when the last call that was answered was sent.
 	ackedAt time.Time
+	// calledAt is when this leader first called the host.
+	calledAt time.Time
+	// askedRound and round are the newest of this leadership that the host was
+	// asked in, and that it has answered.
+	askedRound uint64
+	round      uint64
 }
 
 func (n *Node) becomeLeader(now time.Time) {
@@ -33,6 +39,7 @@
 	n.appendOwn(&wire.LogEntry{}, nil)
 	n.termStart = n.store.lastIndex()
 	n.heardAt = now
+	n.round = 0
 	n.lead(now)
 }
 
@@ -85,17 +92,19 @@
 	}
 	p := n.progress[host.GetId()]
 	if p == nil {
-		p = &progress{next: n.store.lastIndex() + 1}
+		p = &progress{next: n.store.lastIndex() + 1, calledAt: now}
 		n.progress[host.GetId()] = p
 	}
-	due := now.Sub(p.sentAt) >= n.cfg.Timing.Heartbeat
+	due := now.Sub(p.sentAt) >= n.cfg.Timing.Heartbeat || p.askedRound < n.round
 	if p.busy || host.GetFolder() == 0 || (p.failed || p.next > n.store.lastIndex()) && !due {
 		return
 	}
 	p.busy = true
 	p.sentAt = now
+	p.askedRound = n.round
+	round := n.round
 	if p.next <= n.store.snapshot.GetIndex() {
-		n.output(func() { go (&installCall{n, host, n.installRequest(host)}).run(n.ctx) })
+		n.output(func() { go (&installCall{n, host, n.installRequest(host), round}).run(n.ctx) })
 		return
 	}
 	request := &wire.AppendRequest{
@@ -108,7 +117,7 @@
 		Commit:        n.commit,
 		Entries:       n.store.from(p.next, maxAppendBytes),
 	}
-	n.output(func() { go (&appendCall{n, host, request, now}).run(n.ctx) })
+	n.output(func() { go (&appendCall{n, host, request, now, round}).run(n.ctx) })
 }
 
 // appendCall brings entries to one host.
@@ -117,6 +126,7 @@
 	host   *wire.LogHost
 	q      *wire.AppendRequest
 	sentAt time.Time
+	round  uint64
 }
 
 func (c *appendCall) run(ctx context.Context) {
@@ -135,6 +145,7 @@
 	}
 	p.failed = false
 	p.ackedAt = c.sentAt
+	p.round = max(p.round, c.round)
 	if !reply.GetAccepted() {
 		p.next = max(1, min(p.next-1, reply.GetMatch()+1))
 		return
@@ -147,7 +158,7 @@
 // leadership, or to one that ends with it.
 func (n *Node) answered(host *wire.LogHost, sentTerm, term uint64) *progress {
 	if term > n.store.vote.GetTerm() {
-		n.follow(term, "", time.Now())
+		n.follow(term, "", n.cfg.Now())
 	}
 	if !n.leading || n.store.vote.GetTerm() != sentTerm {
 		return nil
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -26,7 +26,14 @@
 	// meetAt is when this host next asks the others for the group.
 	meetAt time.Time
 	poll   *poll
-	meets  map[string]*wire.MeetReply
+	// meets are the answers of one round of asking, metBefore those of the
+	// round before: by id, or by address where there are seeds.
+	meets     map[string]*wire.MeetReply
+	metBefore map[string]*wire.MeetReply
+	meetRound uint64
+	// seeds are the ones in force; known are other addresses, oldest first.
+	seeds []string
+	known []string
 
 	// group is the newest in the log, at groupIndex, committed or not.
 	group      *wire.LogGroup
@@ -40,6 +47,9 @@
 	termStart uint64
 	progress  map[string]*progress
 	proposals map[uint64]*proposal
+	// round counts the times that confirmation was asked for.
+	round    uint64
+	confirms []*confirm
 }
 
 // proposal waits for its entry.
@@ -66,16 +76,15 @@
 // restore brings the machine and the group to what the folder holds.
 func (n *Node) restore() error {
 	snapshot := n.store.snapshot
-	if snapshot.GetIndex() > 0 && len(snapshot.GetState()) > 0 {
-		if err := n.machine.Restore(snapshot.GetState()); err != nil {
-			return corrupt(snapshotFile, "%v", err)
-		}
+	if err := n.machine.Restore(snapshot.GetState()); err != nil {
+		return corrupt(snapshotFile, "%v", err)
 	}
 	n.commit = snapshot.GetIndex()
 	n.applied = snapshot.GetIndex()
 	n.appliedGroup = snapshot.GetGroup()
 	n.proposals = map[uint64]*proposal{}
 	n.meets = map[string]*wire.MeetReply{}
+	n.seeds = n.cfg.Seeds
 	n.findGroup()
 	return nil
 }
@@ -87,7 +96,7 @@
 	n.heardAt = now
 	n.delayCampaign(now)
 	n.meetAt = now
-	if n.store.fresh() && n.alone() {
+	if n.store.fresh() && !n.cfg.seeded() && n.alone() {
 		n.found(nil)
 	}
 	if n.onlyVoter() {
@@ -112,6 +121,7 @@
 	if !now.Before(n.meetAt) && (n.store.fresh() || n.leader == "") {
 		n.meetAt = now.Add(n.cfg.Timing.Election / 2)
 		n.meet()
+		n.foundFromSeeds()
 	}
 	if !now.Before(n.campaignAt) {
 		n.delayCampaign(now)
@@ -144,7 +154,7 @@
 
 // propose appends an entry as the leader.
 func (n *Node) propose(e *wire.LogEntry, p *proposal) error {
-	if !n.current(time.Now()) {
+	if !n.current(n.cfg.Now()) {
 		return n.notLeader("propose")
 	}
 	n.appendOwn(e, p)
@@ -218,12 +228,13 @@
 	n.poll = nil
 	n.progress = nil
 	n.dropProposals()
+	n.dropConfirms()
 }
 
 func (n *Node) status(now time.Time) Status {
 	s := Status{
 		Leader: n.leader, Term: n.store.vote.GetTerm(), Commit: n.commit, Applied: n.applied,
-		Current: n.current(now), Founded: !n.store.fresh(),
+		Current: n.current(now), Founded: !n.store.fresh(), GroupVersion: n.groupIndex,
 	}
 	for _, host := range n.group.GetHosts() {
 		one := HostStatus{ID: host.GetId(), Address: host.GetAddress(), Voter: host.GetVoter()}
--- a/lib/quorum/store.go
+++ b/lib/quorum/store.go
@@ -34,15 +34,16 @@
 	unsynced  []byte
 }
 
-// openStore reads a folder. An empty one becomes a new folder of the host.
-func openStore(folder Folder, host string) (*store, error) {
+// openStore reads a folder. An empty one becomes a new folder of the host,
+// which founds says may found a group.
+func openStore(folder Folder, host string, founds bool) (*store, error) {
 	s := &store{folder: folder, identity: &wire.LogIdentity{}, vote: &wire.LogVote{}, snapshot: &wire.LogSnapshot{}}
 	found, err := s.readMessage(identityFile, s.identity)
 	if err != nil {
 		return nil, err
 	}
 	if !found {
-		s.identity = &wire.LogIdentity{Host: host, Folder: randomNumber()}
+		s.identity = &wire.LogIdentity{Host: host, Folder: randomNumber(), Founds: founds}
 		return s, s.writeMessage(identityFile, s.identity)
 	}
 	if s.identity.GetHost() != host {
@@ -54,6 +55,12 @@
 	return s, s.load()
 }
 
+// renewFolder makes a folder new, whatever it holds. It can found no group.
+func renewFolder(folder Folder, host string) error {
+	s := &store{folder: folder}
+	return s.writeMessage(identityFile, &wire.LogIdentity{Host: host, Folder: randomNumber()})
+}
+
 // fresh tells whether the folder belongs to no group yet.
 func (s *store) fresh() bool { return s.identity.GetGroup() == 0 }
 
--- a/lib/service/check.go
+++ b/lib/service/check.go
@@ -2,18 +2,28 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
 )
 
 // Bounds of what service files may say.
 const (
-	maxName           = 64
-	maxServices       = 1000
-	maxTeams          = 1000
-	maxKinds          = 100
+	maxName       = 64
+	maxServices   = 1000
+	maxTeams      = 1000
+	maxKinds      = 10_000
+	maxRoutes     = 100
+	maxHost       = 255
+	maxPathPrefix = 1024
+	maxPriority   = 1000
+	maxAttempts   = 1000
+	maxStretch    = 1000
+	// maxBytes bounds a whole configuration, encoded.
+	maxBytes          = 8 << 20
 	maxRunMillis      = 600_000
 	maxDeadlineMillis = 3_600_000
 	maxTasks          = 10_000
@@ -25,6 +35,7 @@
 func Check(services []*wire.Service, teams []*wire.Team) error {
 	c := &checker{where: func(path string) string { return path }}
 	c.file(services, teams)
+	c.size(services, teams)
 	return c.err
 }
 
@@ -39,10 +50,11 @@
 	c.within("services", "services", int64(len(services)), 0, maxServices, "services")
 	c.within("teams", "teams", int64(len(teams)), 0, maxTeams, "teams")
 	seen := map[string]bool{}
+	routes := map[string]string{}
 	for i, one := range services {
 		at := fmt.Sprintf("services[%d]", i)
 		c.name(at, "service", one.GetName(), seen)
-		c.kinds(at, one)
+		c.kinds(at, one, routes)
 	}
 	seen = map[string]bool{}
 	for i, team := range teams {
@@ -53,7 +65,14 @@
 	}
 }
 
-func (c *checker) kinds(at string, one *wire.Service) {
+// size checks that the whole can be kept and sent.
+func (c *checker) size(services []*wire.Service, teams []*wire.Team) {
+	n := proto.Size(&wire.Configuration{Services: services, Teams: teams})
+	c.within("services", "the size of all services and teams", int64(n), 0, maxBytes, "bytes")
+}
+
+// kinds checks the kinds of a service; routes names whose each route is.
+func (c *checker) kinds(at string, one *wire.Service, routes map[string]string) {
 	c.within(at+".kinds", "the number of kinds", int64(len(one.GetKinds())), 1, maxKinds, "kinds")
 	seen := map[string]bool{}
 	for i, kind := range one.GetKinds() {
@@ -65,6 +84,39 @@
 		if _, found := wire.Urgency_name[int32(kind.GetUrgency())]; !found {
 			c.wrong(at+".urgency", "urgency %d is unknown", kind.GetUrgency())
 		}
+		c.leased(at, kind)
+		c.routes(at, kind, routes)
+	}
+}
+
+// leased checks what counts for leased workers.
+func (c *checker) leased(at string, kind *wire.Kind) {
+	c.within(at+".priority", "priority", int64(kind.GetPriority()), 0, maxPriority, "")
+	c.within(at+".maxAttempts", "maxAttempts", int64(kind.GetMaxAttempts()), 0, maxAttempts, "attempts")
+	c.within(at+".slackMillis", "slackMillis", kind.GetSlackMillis(), 0, maxDeadlineMillis, "milliseconds")
+	if stretch := kind.GetStretch(); !(stretch >= 0 && stretch <= maxStretch) {
+		c.wrong(at+".stretch", "stretch is %g; it must be from 0 to %d", stretch, maxStretch)
+	}
+}
+
+// routes checks how a gateway's callers reach a kind.
+func (c *checker) routes(at string, kind *wire.Kind, seen map[string]string) {
+	c.within(at+".routes", "the number of routes", int64(len(kind.GetRoutes())), 0, maxRoutes, "routes")
+	if len(kind.GetRoutes()) > 0 && kind.GetDeadlineMillis() == 0 {
+		c.wrong(at+".deadlineMillis", "kind %q has routes and needs a deadline", kind.GetName())
+	}
+	for i, route := range kind.GetRoutes() {
+		at := fmt.Sprintf("%s.routes[%d]", at, i)
+		c.within(at+".host", "the length of the host", int64(len(route.GetHost())), 0, maxHost, "bytes")
+		c.within(at+".pathPrefix", "the length of the path prefix", int64(len(route.GetPathPrefix())), 1, maxPathPrefix, "bytes")
+		if !strings.HasPrefix(route.GetPathPrefix(), "/") {
+			c.wrong(at+".pathPrefix", "the path prefix %q does not begin with /", route.GetPathPrefix())
+		}
+		key := strings.ToLower(route.GetHost()) + route.GetPathPrefix()
+		if other, found := seen[key]; found {
+			c.wrong(at, "kinds %q and %q share the route %s", other, kind.GetName(), key)
+		}
+		seen[key] = kind.GetName()
 	}
 }
 
--- a/lib/settings/check.go
+++ b/lib/settings/check.go
@@ -16,6 +16,8 @@
 	maxLeaseMillis     = 600_000
 	maxRetentionMillis = 30 * 24 * 3_600_000
 	maxHosts           = 7
+	maxSeeds           = 16
+	maxTolerated       = 3
 	maxBodyBytes       = 1 << 30
 	maxTaskCount       = 1_000_000
 	maxQueuedTasks     = 10_000_000
@@ -44,10 +46,18 @@
 func (c *checker) control(m *wire.ControlSettings) {
 	c.text("id", m.GetId())
 	c.address("listen", m.GetListen())
-	c.text("dataFolder", m.GetDataFolder())
-	c.within("shards", int64(m.GetShards()), 1, maxShards, "shards")
-	c.within("leaseMillis", m.GetLeaseMillis(), minLeaseMillis, maxLeaseMillis, "milliseconds")
+	c.within("shards", int64(m.GetShards()), 0, maxShards, "shards")
+	if m.GetLeaseMillis() != 0 {
+		c.within("leaseMillis", m.GetLeaseMillis(), minLeaseMillis, maxLeaseMillis, "milliseconds")
+	}
 	c.within("retentionMillis", m.GetRetentionMillis(), 0, maxRetentionMillis, "milliseconds")
+	c.optionalAddress("advertise", m.GetAdvertise())
+	c.peers(m)
+	c.seeds(m)
+	c.security(m.GetSecurity())
+}
+
+func (c *checker) peers(m *wire.ControlSettings) {
 	c.within("peers", int64(len(m.GetPeers())), 0, maxHosts, "hosts")
 	seen := map[string]bool{}
 	for i, peer := range m.GetPeers() {
@@ -62,7 +72,30 @@
 	if len(seen) > 0 && !seen[m.GetId()] {
 		c.wrong("peers", "the peers must name all hosts of the group, %q included", m.GetId())
 	}
-	c.security(m.GetSecurity())
+}
+
+// seeds checks what a host that is told only seeds may have.
+func (c *checker) seeds(m *wire.ControlSettings) {
+	c.within("seeds", int64(len(m.GetSeeds())), 0, maxSeeds, "hosts")
+	for i, seed := range m.GetSeeds() {
+		c.address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	c.within("toleratedLosses", int64(m.GetToleratedLosses()), 0, maxTolerated, "hosts")
+	if len(m.GetSeeds()) > 0 {
+		if len(m.GetPeers()) > 0 {
+			c.wrong("seeds", "seeds and peers exclude each other")
+		}
+		return
+	}
+	c.text("dataFolder", m.GetDataFolder())
+	for _, field := range []struct {
+		name string
+		set  bool
+	}{{"found", m.GetFound()}, {"rejoin", m.GetRejoin()}, {"toleratedLosses", m.GetToleratedLosses() > 0}} {
+		if field.set {
+			c.wrong(field.name, "%s needs seeds", field.name)
+		}
+	}
 }
 
 func (c *checker) entry(m *wire.EntrySettings) {
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -35,6 +35,9 @@
 	is.Equal(file.GetServices()[0].GetKinds()[0].GetExpectedRunMillis(), int64(50))
 	is.Equal(file.GetServices()[0].GetKinds()[1].GetUrgency(), wire.Urgency_URGENCY_BATCH)
 	is.NoErr(Parse("f", []byte(controlFile), &wire.ControlSettings{}))
+	seeded := strings.Replace(controlFile, "dataFolder: /tmp/x", "seeds: ['10.0.0.1:1']", 1) // a relay
+	is.NoErr(Parse("f", []byte(seeded+"rejoin: true\nfound: true\ntoleratedLosses: 1\n"), &wire.ControlSettings{}))
+	is.NoErr(Parse("f", []byte("id: a\nlisten: 10.0.0.1:1\ndataFolder: x\nseeds: ['10.0.0.1:1']\n"), &wire.ControlSettings{}))
 	experiment := &wire.Experiment{}
 	is.NoErr(Parse("f", []byte("timeScale: 1\nworkers: [{speed: 0.5}]"), experiment))
 	is.Equal(experiment.GetTimeScale(), 1.0)
@@ -56,6 +59,10 @@
 		{strings.Replace(controlFile, "16", "-1", 1), &wire.ControlSettings{}, `f:5: shards must be a whole number from 0 to 4294967295, not "-1"`},
 		{strings.Replace(controlFile, "2000", "5", 1), &wire.ControlSettings{}, `f:6: leaseMillis is 5; it must be from 100 to 600000 milliseconds`},
 		{strings.Replace(controlFile, "control1", "7", 1), &wire.ControlSettings{}, `f:2: id must be text; put it in quotes: "7"`},
+		{strings.Replace(controlFile, "dataFolder: /tmp/x", "", 1), &wire.ControlSettings{}, `f: dataFolder is missing`},
+		{controlFile + "rejoin: true\n", &wire.ControlSettings{}, `f:8: rejoin needs seeds`},
+		{controlFile + "seeds: [host]\n", &wire.ControlSettings{}, `f:8: seeds[0] is "host"; it must be an IP number and a port, such as 10.0.0.1:7000`},
+		{controlFile + "seeds: ['10.0.0.1:1']\npeers: [{id: control1, address: '10.0.0.1:1'}]\n", &wire.ControlSettings{}, `f:8: seeds and peers exclude each other`},
 		{strings.Replace(controlFile, "id: control1", "", 1), &wire.ControlSettings{}, `f: id is missing`},
 		{"services:\n- name: a\n  kinds:\n  - name: b\n    urgency: urgnt\n", &wire.ServiceFile{}, `f:5: services[0].kinds[0].urgency is "urgnt"; it must be one of batch, normal, urgent; did you mean "urgent"?`},
 		{"services:\n- name: a\n  kinds:\n  - idempotent: 1\n", &wire.ServiceFile{}, `f:4: services[0].kinds[0].idempotent must be true or false, not "1"`},
