Control group: relays choose a founder, faster elections, clock that counts suspensions

Cause: seeds may have no disk; with three of four votes needed, two candidates at once cost another second; a suspended leader's steady clock stands still. Change: relays fix one founder where no seed has a disk; candidates give way to each other before they vote; a failed candidate tries again sooner; control's leases and elections use CLOCK_BOOTTIME; a member skips control hosts that were silent in the same round. Ruled out: shorter election timeouts (a slow disk would unseat leaders).

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -43,6 +43,8 @@
 	page   http.Handler
 	hooks  *twirp.ServerHooks
 	node   quorum.Group
+	// now is the clock of leases and elections.
+	now func() time.Time
 	// hosts are the group's, as last seen.
 	hosts atomic.Pointer[hostList]
 	// state belongs to the node's goroutine.
@@ -69,6 +71,7 @@
 		scope:  metrics.Scope(),
 		page:   metrics.Handler(),
 		hooks:  metrics.Hooks(),
+		now:    bootClock,
 		state:  &state{machine: newMachine(), leases: newLeases(leaseOf(cfg))},
 	}
 	c.hosts.Store(&hostList{})
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -166,35 +166,46 @@
 
 // renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
+	silent := map[string]bool{}
 	for range 2 * len(f.addresses()) {
 		if ctx.Err() != nil {
 			return
 		}
-		if f.renewAt(ctx, f.target()) {
+		address := f.target(silent)
+		if address == "" {
+			break
+		}
+		granted, answered := f.renewAt(ctx, address)
+		if granted {
 			f.regain()
 			return
 		}
+		silent[address] = !answered
 	}
 	f.lose(ctx)
 }
 
-// target returns the host to ask next.
-func (f *Follower) target() string {
+// target returns the host to ask next, none where all are silent.
+func (f *Follower) target(silent map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader != "" {
+	if f.leader != "" && !silent[f.leader] {
 		return f.leader
 	}
 	all := f.allAddresses()
-	if len(all) == 0 {
-		return ""
+	for range all {
+		address := all[f.next%len(all)]
+		f.next++
+		if !silent[address] {
+			return address
+		}
 	}
-	address := all[f.next%len(all)]
-	f.next++
-	return address
+	return ""
 }
 
-func (f *Follower) renewAt(ctx context.Context, address string) bool {
+// renewAt asks one host. It tells whether the round is over, and whether the
+// host answered at all.
+func (f *Follower) renewAt(ctx context.Context, address string) (over, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -205,15 +216,15 @@
 	defer f.mu.Unlock()
 	f.leader = reply.GetLeader()
 	if !wire.Same(q.GetMember().GetIncarnation(), f.member.GetIncarnation()) {
-		return true
+		return true, true
 	}
 	if err != nil || reply.GetLeaseMillis() == 0 {
 		f.stopIfDead(reply)
-		return reply.GetDead()
+		return reply.GetDead(), err == nil
 	}
 	f.leader = address
 	f.accept(sentAt, reply)
-	return true
+	return true, true
 }
 
 // request asks for what is newer than a directory. An incarnation that has no
--- a/lib/quorum/election.go
+++ b/lib/quorum/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"skylarklane.example/lib/wire"
@@ -12,6 +13,8 @@
 	pre     bool
 	term    uint64
 	granted map[string]bool
+	// until is how long other candidates give way to it.
+	until time.Time
 }
 
 // campaign asks the voters, first without effect, then for their votes.
@@ -23,8 +26,10 @@
 	if !pre {
 		n.store.setVote(&wire.LogVote{Term: term, Candidate: n.cfg.ID, CandidateFolder: n.store.identity.GetFolder()})
 		n.leader = ""
+		n.campaignAt = n.cfg.Now().Add(n.cfg.Timing.Election/2 + rand.N(n.cfg.Timing.Election))
+		n.log.Info("Standing for election.", "term", term)
 	}
-	n.poll = &poll{pre: pre, term: term, granted: map[string]bool{n.cfg.ID: true}}
+	n.poll = &poll{pre: pre, term: term, granted: map[string]bool{n.cfg.ID: true}, until: n.cfg.Now().Add(n.cfg.Timing.Election / 5)}
 	request := &wire.VoteRequest{
 		Group:           n.store.identity.GetGroup(),
 		Candidate:       n.cfg.ID,
@@ -110,7 +115,10 @@
 	upToDate := q.GetLastTerm() > n.store.lastTerm() ||
 		q.GetLastTerm() == n.store.lastTerm() && q.GetLastIndex() >= n.store.lastIndex()
 	if q.GetPre() {
-		reply.Granted = upToDate
+		reply.Granted = upToDate && !n.goesFirst(q, now)
+		if reply.Granted {
+			n.yield(now)
+		}
 		return reply
 	}
 	if q.GetTerm() > reply.Term {
@@ -129,6 +137,24 @@
 	return reply
 }
 
+// goesFirst tells whether this host stands for election itself and should win
+// over a candidate with the same log: the lower id does.
+func (n *Node) goesFirst(q *wire.VoteRequest, now time.Time) bool {
+	same := q.GetLastTerm() == n.store.lastTerm() && q.GetLastIndex() == n.store.lastIndex()
+	return n.poll != nil && now.Before(n.poll.until) && same && n.cfg.ID < q.GetCandidate()
+}
+
+// yield lets another candidate go on: two that stand at the same time would
+// split the votes.
+func (n *Node) yield(now time.Time) {
+	if n.poll != nil && n.poll.pre {
+		n.poll = nil
+	}
+	if later := now.Add(n.cfg.Timing.Election / 5); n.campaignAt.Before(later) {
+		n.campaignAt = later
+	}
+}
+
 // promised tells whether this host must not help elect another leader yet: the
 // present one counts on that while it serves reads.
 func (n *Node) promised(now time.Time) bool {
--- a/lib/quorum/fake_test.go
+++ b/lib/quorum/fake_test.go
@@ -29,6 +29,25 @@
 	failAppend bool
 	// refuses makes all writes fail.
 	refuses bool
+	// hang makes all writes wait until it is closed.
+	hang chan struct{}
+}
+
+// wait waits while the folder hangs.
+func (m *memoryFolder) wait() {
+	m.mu.Lock()
+	hang := m.hang
+	m.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
+}
+
+// setHang has writes wait until hang is closed.
+func (m *memoryFolder) setHang(hang chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hang = hang
 }
 
 // refuse makes all writes fail, or no longer.
@@ -53,6 +72,7 @@
 }
 
 func (m *memoryFolder) Replace(name string, b []byte) error {
+	m.wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.refuses {
@@ -63,6 +83,7 @@
 }
 
 func (m *memoryFolder) Append(name string, b []byte) error {
+	m.wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.refuses {
@@ -113,15 +134,16 @@
 	// seeds take the place of peers where there are some.
 	seeds []string
 
-	mu    sync.Mutex
-	hosts map[string]*host
-	cut   map[[2]string]bool
+	mu     sync.Mutex
+	hosts  map[string]*host
+	relays map[string]*host
+	cut    map[[2]string]bool
 	// lossy makes one call in four fail, before or after it arrives.
 	lossy bool
 }
 
 func newCluster(t *testing.T, ids ...string) *cluster {
-	c := &cluster{t: t, is: is.New(t), hosts: map[string]*host{}, cut: map[[2]string]bool{}}
+	c := &cluster{t: t, is: is.New(t), hosts: map[string]*host{}, relays: map[string]*host{}, cut: map[[2]string]bool{}}
 	for _, id := range ids {
 		c.peers = append(c.peers, &wire.LogHost{Id: id})
 	}
@@ -159,6 +181,19 @@
 
 func (h *host) run(ctx context.Context) { h.ended <- h.node.Run(ctx) }
 
+// startRelay starts a host without a disk.
+func (c *cluster) startRelay(id string) {
+	h := &host{ended: make(chan error, 1)}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	h.node = NewRelay(Config{ID: id, Address: id, Seeds: c.seeds, Found: true}, &link{c: c, from: id}, log)
+	ctx, cancel := context.WithCancel(c.t.Context())
+	h.cancel = cancel
+	c.mu.Lock()
+	c.relays[id] = h
+	c.mu.Unlock()
+	go h.run(ctx)
+}
+
 // stop ends a host; what is not synced is gone.
 func (c *cluster) stop(id string) {
 	c.mu.Lock()
@@ -176,6 +211,9 @@
 			c.stop(peer.GetId())
 		}
 	}
+	for _, relay := range c.relays {
+		relay.cancel()
+	}
 	time.Sleep(time.Minute) // calls on their way arrive
 }
 
@@ -393,6 +431,9 @@
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
 	h := l.c.hosts[id]
+	if h == nil {
+		h = l.c.relays[id]
+	}
 	if h == nil || l.c.cut[[2]string{l.from, id}] || l.c.lossy && rand.N(8) == 0 {
 		return nil, errCut
 	}
--- a/lib/quorum/found.go
+++ b/lib/quorum/found.go
@@ -32,7 +32,14 @@
 // address does. Every group that is founded so has the same hosts, and a
 // folder joins one group only: at most one of them ever has a quorum.
 func (n *Node) foundFromSeeds() {
-	if !n.store.fresh() || !n.store.identity.GetFounds() || !slices.Contains(n.seeds, n.cfg.Address) {
+	if !n.store.fresh() || !n.store.identity.GetFounds() {
+		return
+	}
+	if n.chosen() {
+		n.found(nil)
+		return
+	}
+	if !slices.Contains(n.seeds, n.cfg.Address) {
 		return
 	}
 	var hosts []*wire.LogHost
@@ -51,6 +58,18 @@
 	n.found(hosts)
 }
 
+// chosen tells whether no seed has a disk and the relays behind them have fixed
+// this host as the founder. They never fix two.
+func (n *Node) chosen() bool {
+	for _, seed := range n.seeds {
+		reply := n.meets[seed]
+		if reply.GetRelay() && reply.GetFixed() && reply.GetFounder().GetFolder() == n.store.identity.GetFolder() {
+			return true
+		}
+	}
+	return false
+}
+
 // steady tells whether a host counts as one that knows no group. One that lost
 // its folder may have founded before: it counts only if it had the new folder
 // in the round before this one, as then no host was in its old group.
--- a/lib/quorum/meet.go
+++ b/lib/quorum/meet.go
@@ -20,6 +20,7 @@
 	n.meets = map[string]*wire.MeetReply{}
 	request := &wire.MeetRequest{
 		Id: n.cfg.ID, Folder: n.store.identity.GetFolder(), Group: n.store.identity.GetGroup(), Address: n.cfg.Address,
+		Founds: n.store.fresh() && n.store.identity.GetFounds(),
 	}
 	for _, host := range n.contacts() {
 		n.output(func() { go (&meetCall{n, host, request, n.meetRound}).run(n.ctx) })
--- a/lib/quorum/relay.go
+++ b/lib/quorum/relay.go
@@ -44,11 +44,15 @@
 	known  []string
 	group  *wire.LogGroup
 	leader *wire.LogHost
+	choice choice
 }
 
 // NewRelay returns a relay. Run starts it.
 func NewRelay(cfg Config, transport Transport, log *slog.Logger) *Relay {
-	return &Relay{cfg: cfg.withDefaults(), transport: transport, log: log, seeds: cfg.Seeds}
+	return &Relay{
+		cfg: cfg.withDefaults(), transport: transport, log: log, seeds: cfg.Seeds,
+		choice: choice{hosts: map[string]*wire.LogHost{}},
+	}
 }
 
 // Run follows the group's leader until ctx ends.
@@ -87,6 +91,7 @@
 func (r *Relay) take(replies []*wire.MeetReply) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.choose(replies)
 	found := false
 	for _, reply := range replies {
 		r.remember(reply.GetAddress())
@@ -139,8 +144,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.remember(q.GetAddress())
+	if q.GetFounds() && r.cfg.Found {
+		r.choice.register(q, r.cfg.Now())
+	}
 	return &wire.MeetReply{
 		Id: r.cfg.ID, Address: r.cfg.Address, Relay: true, Group: r.group, Known: slices.Clone(r.known),
+		Founder: r.choice.founder, Fixed: r.choice.fixed,
 	}, nil
 }
 
--- a/lib/quorum/seeds_test.go
+++ b/lib/quorum/seeds_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"errors"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -301,3 +302,89 @@
 func (r *reader) run(t *testing.T) {
 	r.answer <- r.node.Confirm(t.Context(), func(uint64) { r.f() })
 }
+
+// TestDiskHangs has the leader's folder hang: another host leads meanwhile, and
+// nothing that the hanging host says counts as current.
+func TestDiskHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSeeded(t, three, "a", "b", "c", "d")
+		defer c.stopAll()
+		c.propose("x")
+		c.settled()
+		leader := c.leader()
+		h := c.host(leader)
+		hang := make(chan struct{})
+		h.folder.setHang(hang)
+		answer := make(chan error, 1)
+		go (&proposer{node: h.node, command: "y", answer: answer}).run(t)
+		began := time.Now()
+		time.Sleep(time.Millisecond)
+		c.is.True(c.leader() != leader)
+		c.is.True(time.Since(began) < 1500*time.Millisecond)
+		c.propose("z")
+		h.folder.setHang(nil)
+		close(hang)
+		c.is.Equal(kindOf(<-answer), KindInDoubt)
+		c.is.Equal(c.settled(), []string{"x", "z"})
+	})
+}
+
+// TestFailover bounds the time without a leader.
+func TestFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSeeded(t, three, "a", "b", "c", "d")
+		defer c.stopAll()
+		for range 100 {
+			c.settled()
+			leader := c.leader()
+			folder := c.host(leader).folder
+			c.stop(leader)
+			began := time.Now()
+			c.leader()
+			if took := time.Since(began); took > 1200*time.Millisecond {
+				t.Errorf("no leader for %v", took)
+			}
+			c.startWith(leader, folder, Config{})
+		}
+	})
+}
+
+// TestRelays founds the group where some or all of the seeds have no disk.
+func TestRelays(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		relays []string
+		ids    []string
+	}{
+		{"one relay", []string{"a"}, []string{"b", "c", "d"}},
+		{"two relays", []string{"a", "c"}, []string{"b", "d", "e"}},
+		{"relays alone", three, []string{"d", "e", "f", "g"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					c := newSeeded(t, three)
+					defer c.stopAll()
+					for _, id := range test.relays {
+						c.startRelay(id)
+						time.Sleep(100 * time.Millisecond)
+					}
+					for _, id := range test.ids {
+						c.startNew(id, true)
+						time.Sleep(300 * time.Millisecond)
+					}
+					c.propose("x")
+					c.is.Equal(c.settled(), []string{"x"})
+					time.Sleep(time.Second)
+					leader := c.leader()
+					for _, id := range test.relays {
+						err := c.relays[id].node.Read(t.Context(), func(uint64) {})
+						var e *Error
+						c.is.True(errors.As(err, &e))
+						c.is.Equal(e.Address, leader)
+					}
+				})
+			}
+		})
+	}
+}
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -115,7 +115,8 @@
 		n.lead(now)
 		return
 	}
-	if n.leader != "" && now.Sub(n.heardAt) > 2*n.cfg.Timing.Election {
+	if n.leader != "" && now.Sub(n.heardAt) > n.cfg.Timing.Election {
+		n.log.Info("The leader is silent.", "leader", n.leader, "silentMillis", now.Sub(n.heardAt).Milliseconds())
 		n.leader = ""
 	}
 	if !now.Before(n.meetAt) && (n.store.fresh() || n.leader == "") {
@@ -124,7 +125,7 @@
 		n.foundFromSeeds()
 	}
 	if !now.Before(n.campaignAt) {
-		n.delayCampaign(now)
+		n.campaignAt = now.Add(n.cfg.Timing.Election/5 + rand.N(n.cfg.Timing.Election/2))
 		n.campaign(true)
 	}
 }
