Members have renewals passed on where the leader is silent; seeds at reload

Cause: the link between a member and the leader alone may be cut. Change: a follower asks another host to pass its renewal on for 3 s; control reads its seeds again on SIGHUP; a new data folder's name is synced; lib/link and membership have tests of silent connections and rejoining. Ruled out: passing every renewal on (a hop and two links for each).

--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
@@ -28,22 +31,29 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log, process.LogReady(log))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	return run(ctx, cfg, log, process.LogReady(log), &reloader{file: file, signals: signals})
 }
 
 // Run serves as one control host until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	return run(ctx, cfg, log, ready, &reloader{})
+}
+
+func run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc, r *reloader) error {
 	security, err := process.LoadSecurity(cfg.GetSecurity())
 	if err != nil {
 		return err
 	}
 	metrics := metric.New("control")
 	defer metrics.Close()
-	folder, err := quorum.OpenFolder(cfg.GetDataFolder())
+	folder, closeFolder, err := openFolder(cfg)
 	if err != nil {
 		return err
 	}
-	defer folder.Close()
+	defer closeFolder()
 	c, err := New(cfg, folder, security.Client(), log, metrics)
 	if err != nil {
 		return err
@@ -54,9 +64,25 @@
 	}
 	server := process.New(security.Listener(listener), security.Guard(c.Handler()), log)
 	ready(server.Address(), "")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.control = c
+	go r.run(ctx)
 	if err := c.Run(ctx); err != nil {
 		server.Close()
 		return err
 	}
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
+
+// openFolder opens the data folder; a relay has none.
+func openFolder(cfg *wire.ControlSettings) (quorum.Folder, func(), error) {
+	if cfg.GetDataFolder() == "" {
+		return nil, func() {}, nil
+	}
+	folder, err := quorum.OpenFolder(cfg.GetDataFolder())
+	if err != nil {
+		return nil, nil, err
+	}
+	return folder, folder.Close, nil
+}
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -5,13 +5,18 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"skylarklane.example/lib/wire"
 )
 
-// maxJoinRounds bounds how often a renewal has its member logged before it
-// asks the member to come again.
-const maxJoinRounds = 3
+const (
+	// maxJoinRounds bounds how often a renewal has its member logged before it
+	// asks the member to come again.
+	maxJoinRounds = 3
+	// renewAttempt bounds a renewal that is passed on.
+	renewAttempt = 400 * time.Millisecond
+)
 
 // Renew implements wire.Control. A host that does not lead names the leader
 // and grants nothing.
@@ -23,7 +28,7 @@
 		var reply *wire.RenewReply
 		err := c.read(ctx, func(s *state, now time.Time) { reply = s.renew(q, now) })
 		if err != nil {
-			return c.renewElsewhere(err)
+			return c.renewElsewhere(ctx, q, err)
 		}
 		if reply.GetDead() {
 			c.scope.Counter("renew_refused_dead").Inc(1)
@@ -33,7 +38,7 @@
 			return reply, nil
 		}
 		if _, err := c.propose(ctx, joinCommand(q.GetMember())); err != nil {
-			return c.renewElsewhere(err)
+			return c.renewElsewhere(ctx, q, err)
 		}
 	}
 	return &wire.RenewReply{}, nil
@@ -48,9 +53,19 @@
 	}
 }
 
-func (c *Control) renewElsewhere(err error) (*wire.RenewReply, error) {
-	c.scope.Counter("renew_refused_not_leader").Inc(1)
-	return &wire.RenewReply{Leader: c.leaderAddress(err)}, nil
+// renewElsewhere names the leader, or passes the renewal on to it.
+func (c *Control) renewElsewhere(ctx context.Context, q *wire.RenewRequest, err error) (*wire.RenewReply, error) {
+	address := c.leaderAddress(err)
+	if !q.GetForward() || address == "" {
+		c.scope.Counter("renew_refused_not_leader").Inc(1)
+		return &wire.RenewReply{Leader: address}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewAttempt)
+	defer cancel()
+	c.scope.Counter("renew_forwarded").Inc(1)
+	passed := proto.CloneOf(q)
+	passed.Forward = false
+	return wire.NewControlProtobufClient("http://"+address, c.client).Renew(ctx, passed)
 }
 
 // Report implements wire.Control.
--- /dev/null
+++ b/lib/control/reload.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"context"
+	"os"
+
+	"skylarklane.example/lib/settings"
+	"skylarklane.example/lib/wire"
+)
+
+// reloader takes the seeds of the settings over at each signal. The other
+// settings count from the next start.
+type reloader struct {
+	file    string
+	signals <-chan os.Signal
+	control *Control
+}
+
+func (r *reloader) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+		}
+		cfg := &wire.ControlSettings{}
+		err := settings.Load(r.file, cfg)
+		if err == nil {
+			err = r.control.SetSeeds(ctx, cfg.GetSeeds())
+		}
+		if err != nil {
+			r.control.log.Error("The settings cannot be read again; those at hand stay.", "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/lib/link/link_test.go
@@ -0,0 +1,112 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// muffler passes connections on until they are told to go silent: then those
+// that are open neither answer nor end.
+type muffler struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []*muffled
+}
+
+type muffled struct {
+	net.Conn
+
+	mu     sync.Mutex
+	silent chan struct{}
+}
+
+func (m *muffler) Accept() (net.Conn, error) {
+	conn, err := m.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	one := &muffled{Conn: conn}
+	m.conns = append(m.conns, one)
+	return one, nil
+}
+
+// silence makes all open connections silent, and returns how many there were.
+func (m *muffler) silence() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, conn := range m.conns {
+		conn.mu.Lock()
+		conn.silent = make(chan struct{})
+		conn.mu.Unlock()
+	}
+	return len(m.conns)
+}
+
+// Write drops what a silent connection is to send.
+func (c *muffled) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent != nil {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// caller calls beside others.
+type caller struct {
+	client *http.Client
+	url    string
+	done   sync.WaitGroup
+}
+
+func (c *caller) run() {
+	defer c.done.Done()
+	_ = call(c.client, c.url, time.Second)
+}
+
+func call(client *http.Client, url string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// TestSilentConnections has all idle connections go silent at once: one call
+// fails, and the next one uses a new connection.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) }))
+	m := &muffler{Listener: server.Listener}
+	server.Listener = m
+	server.Start()
+	defer server.Close()
+	client := Client(&http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}})
+	url := "http://" + strings.TrimPrefix(server.URL, "http://")
+	c := &caller{client: client, url: url}
+	for range 8 {
+		c.done.Add(1)
+		go c.run()
+	}
+	c.done.Wait()
+	is.True(m.silence() > 1)
+	is.True(call(client, url, 200*time.Millisecond) != nil)
+	is.NoErr(call(client, url, 2*time.Second))
+}
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -27,6 +27,9 @@
 	renewTimeout = 700 * time.Millisecond
 	// roundPause is the wait after all hosts were asked in vain.
 	roundPause = 100 * time.Millisecond
+	// forwardTime is how long renewals are passed on before the leader is asked
+	// directly again.
+	forwardTime = 3 * time.Second
 )
 
 // Follower renews one member's lease and keeps the newest directory.
@@ -45,6 +48,9 @@
 	rejoined func(*wire.Incarnation)
 	// joining is set until this incarnation has a lease.
 	joining bool
+	// forwardUntil is how long renewals are passed on by another host, as the
+	// leader was silent.
+	forwardUntil time.Time
 	// lost is set while no control host has answered.
 	lost         bool
 	heardAt      time.Time
@@ -167,7 +173,7 @@
 // renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
 	silent := map[string]bool{}
-	for range 2 * len(f.addresses()) {
+	for range 2*len(f.addresses()) + 2 {
 		if ctx.Err() != nil {
 			return
 		}
@@ -181,6 +187,9 @@
 			return
 		}
 		silent[address] = !answered
+		if !answered {
+			f.forward()
+		}
 	}
 	f.lose(ctx)
 }
@@ -232,7 +241,7 @@
 func (f *Follower) request(directory *wire.Directory) *wire.RenewRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion}
+	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion, Forward: time.Now().Before(f.forwardUntil)}
 	if !f.joining {
 		q.DirectoryVersion = directory.GetVersion()
 		q.ConfigVersion = directory.GetConfigVersion()
--- a/lib/membership/follower_test.go
+++ b/lib/membership/follower_test.go
@@ -21,13 +21,24 @@
 	wire.Control
 	mu    sync.Mutex
 	reply *wire.RenewReply
-	asked int
+	// forwards answers renewals that are to be passed on, where it is set.
+	forwards *wire.RenewReply
+	asked    int
 }
 
-func (f *fakeControl) Renew(context.Context, *wire.RenewRequest) (*wire.RenewReply, error) {
+func (f *fakeControl) set(reply *wire.RenewReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reply = reply
+}
+
+func (f *fakeControl) Renew(_ context.Context, q *wire.RenewRequest) (*wire.RenewReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
+	if q.GetForward() && f.forwards != nil {
+		return f.forwards, nil
+	}
 	return f.reply, nil
 }
 
@@ -103,3 +114,58 @@
 	is.Equal(d.GetConfigVersion(), uint64(3))
 	is.Equal(old.GetViews()[1].GetEpoch(), uint64(1)) // the old one stays
 }
+
+// TestRejoins has a member that is declared dead go on under a new incarnation.
+func TestRejoins(t *testing.T) {
+	is := is.New(t)
+	control, address := startControl(t, &wire.RenewReply{Dead: true})
+	f := newFollower(address)
+	f.accept(time.Now(), &wire.RenewReply{LeaseMillis: 60_000, Directory: &wire.Directory{Version: 9, ConfigVersion: 4}})
+	before := f.Member().GetIncarnation()
+	var now *wire.Incarnation
+	f.Rejoin(func(who *wire.Incarnation) {
+		now = who
+		is.Equal(f.Member().GetIncarnation(), who) // f is not locked
+	})
+	f.renew(t.Context())
+	is.True(now != nil && !wire.Same(now, before))
+	is.True(!f.Current())
+	is.Equal(f.Directory().GetConfigVersion(), uint64(4)) // what is at hand stays
+	is.Equal(f.request(f.Directory()).GetDirectoryVersion(), uint64(0))
+	control.set(&wire.RenewReply{LeaseMillis: 60_000, Directory: &wire.Directory{Version: 10, ConfigVersion: 4}})
+	f.renew(t.Context())
+	is.True(f.Current())
+	is.Equal(f.request(f.Directory()).GetDirectoryVersion(), uint64(10))
+}
+
+// TestLearnsHosts has the group name a host that is no seed, and the seed go.
+func TestLearnsHosts(t *testing.T) {
+	is := is.New(t)
+	_, other := startControl(t, &wire.RenewReply{LeaseMillis: 60_000})
+	_, seed := startControl(t, &wire.RenewReply{LeaseMillis: 60_000, Hosts: []string{other}, HostsVersion: 3})
+	f := newFollower(seed)
+	f.renew(t.Context())
+	is.Equal(f.request(f.Directory()).GetHostsVersion(), uint64(3))
+	f.SetSeeds([]string{"127.0.0.1:1"})
+	f.leader = ""
+	for range 4 {
+		f.renew(t.Context())
+		is.Equal(f.leader, other)
+	}
+	is.True(!f.HeardAt().IsZero())
+}
+
+// TestPassesOn has the leader silent towards the member, but not towards the
+// other hosts.
+func TestPassesOn(t *testing.T) {
+	is := is.New(t)
+	silent := "127.0.0.1:1"
+	control, address := startControl(t, &wire.RenewReply{Leader: silent})
+	control.forwards = &wire.RenewReply{LeaseMillis: 60_000}
+	f := newFollower(address)
+	f.renew(t.Context())
+	is.True(f.Current())
+	is.Equal(control.asked, 2) // once directly, once to pass it on
+	f.renew(t.Context())
+	is.Equal(control.asked, 3)
+}
--- a/lib/membership/hosts.go
+++ b/lib/membership/hosts.go
@@ -101,3 +101,12 @@
 	f.lost = false
 	f.log.Info("A control host grants a lease again.", "leader", f.leader)
 }
+
+// forward has the next renewals passed on to the leader: the link to it may be
+// cut while other hosts reach it.
+func (f *Follower) forward() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forwardUntil = time.Now().Add(forwardTime)
+	f.leader = ""
+}
--- a/lib/quorum/folder.go
+++ b/lib/quorum/folder.go
@@ -30,7 +30,7 @@
 
 // OpenFolder makes the folder where it does not exist and locks it.
 func OpenFolder(path string) (*DiskFolder, error) {
-	if err := os.MkdirAll(path, 0o700); err != nil {
+	if err := makeFolder(path); err != nil {
 		return nil, storage("open", err)
 	}
 	lock, err := os.OpenFile(filepath.Join(path, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
@@ -44,6 +44,17 @@
 	return &DiskFolder{path: path, lock: lock, open: map[string]*os.File{}}, nil
 }
 
+// makeFolder makes a folder that lasts, where there is none.
+func makeFolder(path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
 // Close gives the folder free.
 func (d *DiskFolder) Close() {
 	for _, f := range d.open {
@@ -91,8 +102,10 @@
 }
 
 // sync makes the folder's list of names last.
-func (d *DiskFolder) sync() error {
-	f, err := os.Open(d.path)
+func (d *DiskFolder) sync() error { return syncFolder(d.path) }
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/lib/quorum/storm_test.go
@@ -0,0 +1,96 @@
+package quorum
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+var four = []string{"a", "b", "c", "d"}
+
+// restart stops hosts at once and starts them on what they had.
+func (c *cluster) restart(ids ...string) {
+	folders := map[string]*memoryFolder{}
+	for _, id := range ids {
+		folders[id] = c.host(id).folder
+		c.stop(id)
+	}
+	for _, id := range ids {
+		c.startWith(id, folders[id], Config{})
+	}
+}
+
+// TestRandomLosses restarts, wipes, cuts off, splits and freezes hosts that know
+// only their seeds. One folder at a time is lost. No command that was answered
+// may be missing, out of order, or confirmed as not there.
+func TestRandomLosses(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newSeeded(t, three, four...)
+			defer c.stopAll()
+			var answered []string
+			for round := range 40 {
+				id := four[rand.N(4)]
+				switch rand.N(7) {
+				case 0:
+					c.restart(id)
+				case 1:
+					c.restart(four...)
+				case 2:
+					c.settled()
+					c.stop(id)
+					c.startNew(id, false)
+				case 3:
+					c.isolate(id, true)
+					time.Sleep(rand.N(15 * time.Second))
+					c.isolate(id, false)
+				case 4:
+					c.split(four[:2], four[2:], true)
+					time.Sleep(rand.N(5 * time.Second))
+					c.split(four[:2], four[2:], false)
+				case 5:
+					c.freeze(id)
+					time.Sleep(rand.N(15 * time.Second))
+					c.thaw(id)
+				case 6:
+					c.mu.Lock()
+					c.lossy = !c.lossy
+					c.mu.Unlock()
+				}
+				command := fmt.Sprint("command", round)
+				c.propose(command)
+				answered = append(answered, command)
+				c.confirms(command)
+			}
+			c.mu.Lock()
+			c.lossy = false
+			c.mu.Unlock()
+			var order []string
+			for _, command := range c.settled() {
+				if !slices.Contains(order, command) { // one in doubt was proposed again
+					order = append(order, command)
+				}
+			}
+			c.is.Equal(order, answered)
+			c.is.Equal(c.voters(), 4)
+		})
+	}
+}
+
+// confirms requires of each host that confirms at all that it has a command.
+func (c *cluster) confirms(command string) {
+	c.t.Helper()
+	for _, id := range four {
+		h := c.host(id)
+		answer := make(chan bool, 1)
+		go (&reader{node: h.node, answer: make(chan error, 1), f: func() { answer <- slices.Contains(h.machine.commands, command) }}).run(c.t)
+		select {
+		case has := <-answer:
+			c.is.True(has)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
