--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -68,13 +68,16 @@
 }
 
 func (h *Host) run(ctx context.Context) error {
-	h.mu.Lock()
-	node := h.node
-	h.mu.Unlock()
-	if node == nil {
-		return h.reopen()
+	if _, err := h.current(); err != nil {
+		if err := h.reopen(); err != nil {
+			return err
+		}
+	}
+	node, err := h.current()
+	if err != nil {
+		return err
 	}
-	err := node.Run(ctx)
+	err = node.Run(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.node = nil
--- a/lib/quorum/seeds_test.go
+++ b/lib/quorum/seeds_test.go
@@ -281,6 +281,8 @@
 		c.freeze(leader)
 		time.Sleep(5 * time.Second)
 		c.propose("y")
+		c.isolate(leader, true) // it hears of no other leader yet
+		time.Sleep(time.Second)
 		confirmed := ""
 		answer := make(chan error, 1)
 		go (&reader{node: node, answer: answer, f: func() { confirmed = c.host(leader).machineState() }}).run(t)
@@ -288,6 +290,7 @@
 		c.thaw(leader)
 		c.is.True(kindOf(<-answer) == KindNotLeader)
 		c.is.Equal(confirmed, "")
+		c.isolate(leader, false)
 		c.is.Equal(c.settled(), []string{"x", "y"})
 	})
 }
@@ -388,3 +391,23 @@
 		})
 	}
 }
+
+// TestStartsOnRefusingFolder starts a host whose folder refuses writes at first.
+func TestStartsOnRefusingFolder(t *testing.T) {
+	for _, wait := range []time.Duration{0, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newSeeded(t, three, three...)
+			defer c.stopAll()
+			c.propose("x")
+			c.settled()
+			folder := c.host("b").folder
+			c.stop("b")
+			folder.refuse(true)
+			c.startWith("b", folder, Config{})
+			time.Sleep(wait)
+			folder.refuse(false)
+			c.propose("y")
+			c.is.Equal(c.settled(), []string{"x", "y"})
+		})
+	}
+}
