An agent keeps one leased worker: sessions, runs, the lease

Cause: the users' workers run tasks under leases, with fences and ends that have to be taken note of; nothing served wire.Runner yet. Change: lib/lease has the keeper (New, Handler, Announce, Leave, Run, Shutdown). One mutex guards its state; calls to the worker are made outside of it. A run is settled by its end, its absence in a report asked for after a stop was acknowledged, or the sure end of the lease; never by silence alone. Schema: WatchRequest.clock_millis (new, optional) is the entry's estimate of the agent's clock at sending, never ahead of it. A session then lasts from the sending and not from the arrival, so that a watch that was held up on its way extends nothing. WorkerState.id names the worker's life (ID@BORN), and is what LaunchRequest.worker takes. Report.Partial (new): set it where the list of ends may be cut short. For entries: a refused launch stays refused under its attempt; ask again under a higher one. notAfter may be at most one session ahead. Ruled out: a lease that is always extended in full (an entry and its agent lost within 0.8 s would leave runs for 1.7 s; it ends 0.3 s after the session now).

--- /dev/null
+++ b/lib/lease/error.go
@@ -0,0 +1,25 @@
+package lease
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindAnnouncement means that an announcement names no usable worker.
+	KindAnnouncement Kind = iota + 1
+	// KindShutdown means that runs were left when the time to shut down was over.
+	KindShutdown
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/lib/lease/fault_test.go
@@ -0,0 +1,274 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"skylarklane.example/lib/wire"
+)
+
+func TestSessionEndStopsRuns(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(790)
+		d.Equal(d.w.running(), []string{"a"})
+		d.sleep(100)
+		d.Equal(d.w.running(), nil)
+		d.Equal(d.launch(entryOne, 2, "a")[0].GetReason(), "noSession")
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "STOPPED sessionEnd"})
+		d.accepts(entryOne, 2, "a")
+	})
+}
+
+func TestNewIncarnationEndsTheSessionBefore(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		again := &wire.Incarnation{Id: "entry1", Number: 2}
+		d.watch(again, 0)
+		d.sleep(60)
+		d.Equal(d.w.running(), nil)
+		_, err := d.k.Watch(context.Background(), &wire.WatchRequest{Entry: entryOne})
+		d.True(err != nil)
+		d.Equal(len(d.watch(again, 0).GetEnds()), 0)
+	})
+}
+
+func TestWatchThatWaitedOnItsWayRenewsLess(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		sent := d.clock.Now().Milliseconds()
+		d.watch(entryOne, 0)
+		d.sleep(700)
+		reply, err := d.k.Watch(context.Background(), &wire.WatchRequest{Entry: entryOne, Agent: agentOne, ClockMillis: sent + 100})
+		d.NoErr(err)
+		d.Equal(reply.GetSessionUntilMillis(), sent+900)
+	})
+}
+
+func TestSuspendedAgentActsOnNothingOld(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		q := d.order(entryOne, 1, "b")
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.clock.skipped += time.Second
+		reply, err := d.k.Launch(context.Background(), q)
+		d.NoErr(err)
+		d.Equal(reply.GetResults()[0].GetReason(), "noSession")
+		d.sleep(60)
+		d.Equal(d.w.running(), nil)
+	})
+}
+
+func TestLeaseLastsNoLongerThanItsSessionAllows(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(700)
+		d.w.set(func() {
+			d.w.onHold = func(Hold, func() Report) (Report, error) { return Report{}, errNoAnswer }
+		})
+		d.w.set(func() {
+			d.w.onStop = func(Stop, func() Answer) (Answer, error) { return Answer{}, errNoAnswer }
+		})
+		d.sleep(460)
+		d.Equal(d.w.running(), nil)
+	})
+}
+
+func TestLateLaunchIsRefused(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		q := d.order(entryOne, 1, "a")
+		q.NotAfterMillis = d.clock.Now().Milliseconds() - 1
+		reply, err := d.k.Launch(context.Background(), q)
+		d.NoErr(err)
+		d.Equal(reply.GetResults()[0].GetReason(), "late")
+	})
+}
+
+func TestLaunchIsIdempotent(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.accepts(entryOne, 1, "a")
+		d.w.finish("a", 1, Done)
+		d.sleep(10)
+		d.watch(entryOne, 1)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.Equal(d.w.startsOf("a"), 1)
+		d.Equal(d.w.running(), nil)
+	})
+}
+
+func TestHaltBarsALaunchThatIsStillOnItsWay(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		q := d.order(entryOne, 1, "a")
+		d.halt(entryOne, 1, "a")
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "NOT_STARTED halted"})
+		d.watch(entryOne, 1)
+		reply, err := d.k.Launch(context.Background(), q)
+		d.NoErr(err)
+		d.Equal(reply.GetResults()[0].GetReason(), "halted")
+		d.sleep(10)
+		d.Equal(d.w.startsOf("a"), 0)
+	})
+}
+
+func TestStartAppliedAfterItsStopIsRefused(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		var late func() Answer
+		d.w.set(func() {
+			d.w.onStart = func(_ Start, apply func() Answer) (Answer, error) {
+				late = apply
+				return Answer{}, errNoAnswer
+			}
+		})
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		reply := d.live(entryOne, 300)
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "NOT_STARTED unanswered"})
+		d.Equal(d.w.startsOf("a"), startTries)
+		d.True(late().Refusal != Accepted)
+		d.Equal(d.w.running(), nil)
+	})
+}
+
+func TestStartIsSettledByAReport(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onStart = func(_ Start, apply func() Answer) (Answer, error) {
+				apply()
+				time.Sleep(callTimeout)
+				return Answer{}, errNoAnswer
+			}
+		})
+		d.live(entryOne, 200)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(5)
+		d.life().ask()
+		reply := d.live(entryOne, 300)
+		d.Equal(len(reply.GetEnds()), 0)
+		d.Equal(d.w.running(), []string{"a"})
+	})
+}
+
+func TestStopIsSentUntilItIsAcknowledged(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		lost := 3
+		d.w.set(func() {
+			d.w.onStop = func(_ Stop, apply func() Answer) (Answer, error) {
+				if lost--; lost >= 0 {
+					return Answer{}, errNoAnswer
+				}
+				return apply(), nil
+			}
+		})
+		d.halt(entryOne, 1, "a")
+		reply := d.live(entryOne, 400)
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "STOPPED halted"})
+		d.Equal(len(d.w.stops), 4)
+	})
+}
+
+func TestRefusedStarts(t *testing.T) {
+	tests := []struct {
+		refusal Refusal
+		want    string
+	}{
+		{RefusedRoom, "NOT_STARTED room"},
+		{RefusedUnwell, "NOT_STARTED unwell"},
+		{RefusedInvalid, "NOT_STARTED invalid"},
+		{RefusedLate, "NOT_STARTED refusedOften"},
+		{RefusedLife, "NOT_STARTED life"},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.refusal), func(t *testing.T) {
+			onDesk(t, func(d *desk) {
+				d.w.set(func() {
+					d.w.onStart = func(Start, func() Answer) (Answer, error) {
+						return Answer{Refusal: tt.refusal}, nil
+					}
+				})
+				d.watch(entryOne, 0)
+				d.accepts(entryOne, 1, "a")
+				d.sleep(20)
+				d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: tt.want})
+			})
+		})
+	}
+}
+
+func TestUsedNumbersAreSkipped(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.barred["a"] = 5
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(20)
+		d.Equal(d.w.running(), []string{"a"})
+	})
+}
+
+func TestSecondSessionTakesTheTaskOver(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.watch(entryTwo, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.accepts(entryTwo, 1, "a")
+		d.sleep(30)
+		d.Equal(d.w.startsOf("a"), 1)
+		d.sleep(60)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "STOPPED superseded"})
+		d.Equal(d.w.running(), []string{"a"})
+		d.Equal(d.w.starts[1].Run, uint32(2))
+		d.Equal(len(d.watch(entryTwo, 0).GetEnds()), 0)
+	})
+}
+
+func TestDrainTakesEffectBeforeItIsAcknowledged(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.w.set(func() {
+			d.w.onStart = func(Start, func() Answer) (Answer, error) {
+				time.Sleep(callTimeout)
+				return Answer{}, errNoAnswer
+			}
+		})
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.said.Draining = true
+		d.announce(d.w)
+		d.Equal(d.launch(entryOne, 1, "b")[0].GetReason(), "workerDraining")
+		d.sleep(300)
+		d.Equal(d.w.startsOf("a"), 1)
+		d.Equal(d.w.startsOf("b"), 0)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerDraining")
+	})
+}
+
+func TestFenceIsRaised(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t)
+		d.w.fence = uint64(time.Now().UnixMilli()) + 30_000
+		ctx, cancel := context.WithCancel(t.Context())
+		go d.k.Run(ctx)
+		synctest.Wait()
+		d.announce(d.w)
+		d.sleep(100)
+		d.True(d.watch(entryOne, 0).GetWorker().GetCleared())
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/lib/lease/hold.go
@@ -0,0 +1,134 @@
+package lease
+
+import (
+	"context"
+	"time"
+)
+
+// poller holds the lease of a life by one long poll after the other.
+type poller struct {
+	k *Keeper
+	l *life
+}
+
+func (p *poller) loop() {
+	wait, pause := holdWait, holdPause
+	for p.l.ctx.Err() == nil {
+		if p.k.hold(p.l, wait) {
+			wait, pause = holdWait, holdPause
+			continue
+		}
+		p.sleep(pause)
+		wait, pause = 0, min(2*pause, pauseMax)
+	}
+}
+
+func (p *poller) sleep(d time.Duration) {
+	select {
+	case <-p.l.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// pulser sends holds that don't wait: when one is asked for, and while the long
+// poll is not answered.
+type pulser struct {
+	k *Keeper
+	l *life
+}
+
+func (p *pulser) loop() {
+	tick := time.NewTicker(pulseInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.l.ctx.Done():
+			return
+		case <-p.l.kick:
+			p.k.hold(p.l, 0)
+		case <-tick.C:
+			if p.k.isPulseDue(p.l) {
+				p.k.metrics.count("retries", "holdUnanswered")
+				p.k.hold(p.l, 0)
+			}
+		}
+	}
+}
+
+func (k *Keeper) isPulseDue(l *life) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	age := k.steady() - l.repliedAt
+	return age > pulseAge && age < pulseAge+k.cfg.Lease
+}
+
+// hold sends one hold, and tells whether it was carried out.
+func (k *Keeper) hold(l *life, wait time.Duration) bool {
+	q, seq, w, ok := k.beginHold(l, wait)
+	if !ok {
+		return false
+	}
+	sent := k.steady()
+	limit := time.Duration(q.WaitMillis)*time.Millisecond + holdSlack
+	ctx, cancel := context.WithTimeout(l.ctx, limit)
+	defer cancel()
+	report, err := w.Hold(ctx, q)
+	return k.finishHold(l, q, seq, sent, report, err)
+}
+
+func (k *Keeper) beginHold(l *life, wait time.Duration) (Hold, uint64, Worker, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire()
+	if l.retired || l.refused || k.ctx == nil {
+		return Hold{}, 0, nil, false
+	}
+	if !l.cleared || len(l.strays) > 0 {
+		wait = min(wait, clearWait)
+	}
+	l.sent++
+	return Hold{
+		DeadlineMillis: k.extend(l),
+		Fence:          k.fence.number,
+		Cursor:         l.cursor,
+		WaitMillis:     wait.Milliseconds(),
+		Life:           l.said.ID,
+	}, l.sent, l.worker, true
+}
+
+func (k *Keeper) finishHold(l *life, q Hold, seq uint64, sent time.Duration, report Report, err error) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l.retired {
+		return false
+	}
+	defer k.changed()
+	k.expire()
+	if err != nil {
+		k.metrics.count("holds", "unanswered")
+		return false
+	}
+	switch {
+	case report.Refusal == RefusedFence:
+		k.raiseFence(q.Fence)
+		return true
+	case report.Refusal == RefusedLife || report.Born > 0 && report.Born != l.said.Born:
+		k.refuseLife(l)
+		return false
+	case report.Refusal != Accepted:
+		k.metrics.count("holds", string(report.Refusal))
+		return false
+	}
+	now := k.steady()
+	l.readClock(report.ClockMillis, now)
+	if k.silent(l) {
+		k.log.Info("worker answers again", "worker", l.name, "ageMillis", (now - l.repliedAt).Milliseconds())
+	}
+	l.repliedAt = now
+	k.takeEnds(l, report.Ended)
+	if seq > l.taken {
+		l.taken = seq
+		k.takeRunning(l, seq, sent, report)
+	}
+	return true
+}
--- /dev/null
+++ b/lib/lease/keeper_test.go
@@ -0,0 +1,192 @@
+package lease
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/wire"
+)
+
+// skippingClock is a clock that may skip ahead, as after a suspension.
+type skippingClock struct {
+	Clock
+	skipped time.Duration
+}
+
+func (c *skippingClock) Now() time.Duration { return c.Clock.Now() + c.skipped }
+
+// desk is a keeper under test, with one worker and an entry that watches.
+type desk struct {
+	*is.I
+	k     *Keeper
+	w     *fakeWorker
+	clock *skippingClock
+	dials map[string]*fakeWorker
+}
+
+// onDesk runs f with a keeper whose worker is announced and cleared.
+func onDesk(t *testing.T, f func(d *desk)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDesk(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			d.k.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		synctest.Wait()
+		d.announce(d.w)
+		d.sleep(50)
+		f(d)
+	})
+}
+
+func newDesk(t testing.TB) *desk {
+	d := &desk{
+		I:     is.New(t.(*testing.T)),
+		clock: &skippingClock{Clock: Runtime()},
+		dials: map[string]*fakeWorker{},
+		w:     newFakeWorker("w1", 1000),
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	cfg := Config{Agent: agentOne, Clock: d.clock}
+	d.k = New(cfg, func(a Announcement) Worker { return d.dials[a.LifeName()] }, log, tally.NoopScope)
+	return d
+}
+
+var (
+	agentOne = &wire.Incarnation{Id: "agent", Number: 7}
+	entryOne = &wire.Incarnation{Id: "entry1", Number: 1}
+	entryTwo = &wire.Incarnation{Id: "entry2", Number: 1}
+)
+
+func (d *desk) announce(w *fakeWorker) {
+	d.dials[w.said.LifeName()] = w
+	w.said.ClockMillis = w.clock()
+	d.NoErr(d.k.Announce(w.said))
+	w.said.Sequence++
+}
+
+// life is the present life of the worker.
+func (d *desk) life() *life {
+	d.k.mu.Lock()
+	defer d.k.mu.Unlock()
+	return d.k.life
+}
+
+func (d *desk) sleep(millis int) {
+	time.Sleep(time.Duration(millis) * time.Millisecond)
+	synctest.Wait()
+}
+
+// watch renews the session of an entry and returns at once.
+func (d *desk) watch(entry *wire.Incarnation, seen uint64) *wire.WatchReply {
+	reply, err := d.k.Watch(context.Background(), &wire.WatchRequest{Entry: entry, Agent: agentOne, EndsSeen: seen})
+	d.NoErr(err)
+	return reply
+}
+
+// live watches for a time, as an entry that is up does.
+func (d *desk) live(entry *wire.Incarnation, millis int) *wire.WatchReply {
+	reply := d.watch(entry, 0)
+	for range millis / 50 {
+		d.sleep(50)
+		reply = d.watch(entry, 0)
+	}
+	return reply
+}
+
+func (d *desk) launch(entry *wire.Incarnation, attempt uint32, tasks ...string) []*wire.LaunchResult {
+	q := d.order(entry, attempt, tasks...)
+	reply, err := d.k.Launch(context.Background(), q)
+	d.NoErr(err)
+	return reply.GetResults()
+}
+
+func (d *desk) order(entry *wire.Incarnation, attempt uint32, tasks ...string) *wire.LaunchRequest {
+	q := &wire.LaunchRequest{
+		Entry:          entry,
+		Agent:          agentOne,
+		NotAfterMillis: d.clock.Now().Milliseconds() + 500,
+		Service:        "sizing",
+		Worker:         d.life().name,
+		Spec:           []byte("spec"),
+	}
+	for _, task := range tasks {
+		q.Tasks = append(q.Tasks, &wire.LaunchTask{
+			Run:  &wire.RunId{Task: task, Attempt: attempt},
+			Need: &wire.Resources{CpuMillis: 1000, MemoryMb: 1000},
+		})
+	}
+	return q
+}
+
+func (d *desk) halt(entry *wire.Incarnation, attempt uint32, task string) {
+	_, err := d.k.Halt(context.Background(), &wire.HaltRequest{
+		Entry: entry,
+		Agent: agentOne,
+		Runs:  []*wire.RunId{{Task: task, Attempt: attempt}},
+	})
+	d.NoErr(err)
+}
+
+// accepts launches one run that has to be accepted.
+func (d *desk) accepts(entry *wire.Incarnation, attempt uint32, task string) {
+	d.Helper()
+	d.Equal(d.launch(entry, attempt, task)[0].GetReason(), "")
+}
+
+// endsOf tells how the runs of an entry ended, by task and attempt.
+func endsOf(reply *wire.WatchReply) map[runKey]string {
+	ends := map[runKey]string{}
+	for _, e := range reply.GetEnds() {
+		ends[keyOf(e.GetRun())] = e.GetHow().String()[len("RUN_HOW_"):] + " " + e.GetReason()
+	}
+	return ends
+}
+
+func TestRunIsStartedAndItsEndTold(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		first := d.watch(entryOne, 0)
+		d.True(first.GetWorker().GetAccepting())
+		d.accepts(entryOne, 1, "a")
+		d.sleep(20)
+		d.Equal(d.w.running(), []string{"a"})
+		d.w.finish("a", 1, Done)
+		d.sleep(1)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "DONE "})
+		d.Equal(len(d.watch(entryOne, 1).GetEnds()), 0)
+		d.sleep(5)
+		d.Equal(d.w.cursor, uint64(1))
+	})
+}
+
+func TestStoppingRunsCountUntilTheirEnd(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		for _, r := range d.launch(entryOne, 1, "a", "b", "c", "d") {
+			d.True(r.GetAccepted())
+		}
+		d.Equal(d.launch(entryOne, 1, "e")[0].GetReason(), "noRoom")
+		d.sleep(10)
+		d.halt(entryOne, 1, "a")
+		d.sleep(20)
+		d.Equal(d.launch(entryOne, 1, "f")[0].GetReason(), "noRoom")
+		d.sleep(60)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "STOPPED halted"})
+		d.accepts(entryOne, 1, "g")
+		d.sleep(10)
+		d.Equal(d.w.most, 4)
+	})
+}
--- /dev/null
+++ b/lib/lease/life_test.go
@@ -0,0 +1,261 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+)
+
+func TestWorkerIsClearedAfterAnAgentRestart(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		next := newFakeWorker("w2", 2000)
+		next.runs[Running{Task: "old", Run: 3}] = true
+		next.lease = 1000
+		d.announce(next)
+		d.sleep(5)
+		d.True(!d.watch(entryOne, 0).GetWorker().GetCleared())
+		d.Equal(d.launch(entryOne, 1, "a")[0].GetReason(), "clearing")
+		d.sleep(70)
+		d.Equal(next.running(), nil)
+		d.True(d.watch(entryOne, 0).GetWorker().GetCleared())
+		d.accepts(entryOne, 2, "a")
+	})
+}
+
+func TestRestartUnderTheSameIDLosesRuns(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		next := newFakeWorker("w1", 2000)
+		d.announce(next)
+		d.sleep(50)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "LOST workerReplaced"})
+		d.Equal(next.barred["a"], uint32(1))
+		d.accepts(entryOne, 2, "a")
+		d.sleep(20)
+		d.Equal(next.running(), []string{"a"})
+	})
+}
+
+func TestOrderThatReachesTheSuccessorIsStopped(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		next := newFakeWorker("w1", 2000)
+		d.watch(entryOne, 0)
+		d.w.set(func() {
+			d.w.onStart = func(q Start, _ func() Answer) (Answer, error) { return next.applyStart(q), nil }
+		})
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.Equal(next.running(), []string{"a"})
+		d.announce(next)
+		d.sleep(20)
+		d.Equal(len(d.watch(entryOne, 0).GetEnds()), 0)
+		d.sleep(60)
+		d.Equal(next.running(), nil)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "LOST workerReplaced"})
+	})
+}
+
+func TestOtherWorkerAtTheSameAddress(t *testing.T) {
+	tests := []struct {
+		address string
+		after   int
+	}{
+		{"10.0.0.1:80", 0},
+		{"10.0.0.2:80", 1000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.address, func(t *testing.T) {
+			onDesk(t, func(d *desk) {
+				d.watch(entryOne, 0)
+				d.accepts(entryOne, 1, "a")
+				d.sleep(10)
+				next := newFakeWorker("w2", 2000)
+				next.said.Address = tt.address
+				d.announce(next)
+				d.Equal(len(d.watch(entryOne, 0).GetEnds()) > 0, tt.after == 0)
+				reply := d.live(entryOne, tt.after)
+				d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "LOST workerReplaced"})
+				d.Equal(d.w.running() == nil, tt.after > 0)
+			})
+		})
+	}
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.announce(d.w)
+		late := d.w.said
+		late.Sequence = 1
+		late.Draining = true
+		d.NoErr(d.k.Announce(late))
+		former := d.w.said
+		former.ID = "w0"
+		former.Born = 500
+		d.NoErr(d.k.Announce(former))
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w1@1000")
+		d.True(d.watch(entryOne, 0).GetWorker().GetAccepting())
+	})
+}
+
+func TestBirthBeforeThatOfALifeThatIsOver(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() { d.w.said.ID = "other" })
+		d.sleep(300)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerReplaced")
+		d.announce(newFakeWorker("w2", 900))
+		d.sleep(50)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w2@900")
+		d.True(d.watch(entryOne, 0).GetWorker().GetAccepting())
+	})
+}
+
+func TestMalformedAnnouncements(t *testing.T) {
+	good := newFakeWorker("w9", 5000).said
+	tests := []struct {
+		name  string
+		spoil func(a *Announcement)
+	}{
+		{"no id", func(a *Announcement) { a.ID = "" }},
+		{"no service", func(a *Announcement) { a.Service = "" }},
+		{"no address", func(a *Announcement) { a.Address = "" }},
+		{"no birth", func(a *Announcement) { a.Born = 0 }},
+		{"no capacity", func(a *Announcement) { a.CPUMillis = 0 }},
+		{"capacity below zero", func(a *Announcement) { a.MemoryMB = -1 }},
+		{"clock below zero", func(a *Announcement) { a.ClockMillis = -1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			onDesk(t, func(d *desk) {
+				a := good
+				tt.spoil(&a)
+				var e *Error
+				d.True(errors.As(d.k.Announce(a), &e))
+				d.Equal(e.Kind, KindAnnouncement)
+				d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w1@1000")
+			})
+		})
+	}
+}
+
+func TestSilentWorker(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.set(func() { d.w.silent = true })
+		reply := d.live(entryOne, 700)
+		d.Equal(reply.GetWorker().GetReason(), "workerSilent")
+		d.Equal(len(reply.GetEnds()), 0)
+		reply = d.live(entryOne, 1000)
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "LOST workerSilent"})
+		d.Equal(d.w.running(), nil)
+		d.w.set(func() { d.w.silent = false })
+		reply = d.live(entryOne, 700)
+		d.True(reply.GetWorker().GetAccepting())
+	})
+}
+
+func TestRunShownAfterItWasLostIsStopped(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.set(func() { d.w.silent = true })
+		d.live(entryOne, 2000)
+		d.w.set(func() {
+			d.w.runs[Running{Task: "a", Run: 1}] = true
+			d.w.lease = d.w.clock() + 500
+		})
+		d.w.set(func() { d.w.silent = false })
+		d.live(entryOne, 700)
+		d.Equal(len(d.w.stops) > 0, true)
+		d.Equal(d.w.running(), nil)
+	})
+}
+
+func TestRunThatIsMissing(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.set(func() { clear(d.w.runs) })
+		d.Equal(endsOf(d.live(entryOne, 600)), map[runKey]string{{"a", 1}: "LOST missing"})
+	})
+}
+
+func TestHoldRepliesThatOvertake(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		l := d.life()
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		old, oldSeq, _, _ := d.k.beginHold(l, 0)
+		oldSent := d.k.steady()
+		oldReport := d.w.applyHold(context.Background(), old)
+		d.w.finish("a", 1, Done)
+		d.accepts(entryOne, 1, "b")
+		d.sleep(10)
+		d.k.finishHold(l, old, oldSeq, oldSent, oldReport, nil)
+		d.sleep(100)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "DONE "})
+		d.Equal(len(d.w.stops), 0)
+		d.Equal(d.w.running(), []string{"b"})
+	})
+}
+
+func TestEndsAreTakenInOnce(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onHold = func(_ Hold, apply func() Report) (Report, error) {
+				r := apply()
+				r.Ended = append(r.Ended, r.Ended...)
+				return r, nil
+			}
+		})
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.finish("a", 1, Failed)
+		d.sleep(300)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "FAILED failed"})
+		d.Equal(len(d.watch(entryOne, 0).GetEnds()), 1)
+	})
+}
+
+func TestLeaseIsHeldByOneOfTwoSilentChannels(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		n := 0
+		d.w.set(func() {
+			d.w.onHold = func(_ Hold, apply func() Report) (Report, error) {
+				if n++; n%2 == 0 {
+					time.Sleep(holdWait + holdSlack)
+					return Report{}, errNoAnswer
+				}
+				return apply(), nil
+			}
+		})
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.live(entryOne, 3000)
+		d.Equal(d.w.running(), []string{"a"})
+	})
+}
+
+func TestShutdownHoldsTheLeaseUntilRunsEnd(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		done := make(chan error)
+		go func() { done <- d.k.Shutdown(context.Background()) }()
+		reply := d.live(entryOne, 2000)
+		d.Equal(reply.GetWorker().GetReason(), "leaving")
+		d.Equal(d.launch(entryOne, 1, "b")[0].GetReason(), "leaving")
+		d.Equal(d.w.running(), []string{"a"})
+		d.w.finish("a", 1, Done)
+		d.NoErr(<-done)
+	})
+}
--- /dev/null
+++ b/lib/lease/state.go
@@ -0,0 +1,95 @@
+package lease
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"skylarklane.example/lib/wire"
+)
+
+// board is the agent's word on its worker, and who waits for it.
+type board struct {
+	state   *wire.WorkerState
+	pending bool
+	// wake is closed, and made anew, when changes are published.
+	wake chan struct{}
+}
+
+func newBoard() board {
+	return board{state: &wire.WorkerState{}, wake: make(chan struct{})}
+}
+
+// changed renews the state. Those who wait for it are woken once for all
+// changes within stateInterval.
+func (k *Keeper) changed() {
+	next := k.state()
+	next.Version = k.board.state.GetVersion()
+	if proto.Equal(next, k.board.state) {
+		return
+	}
+	if next.GetAccepting() != k.board.state.GetAccepting() || next.GetReason() != k.board.state.GetReason() {
+		k.log.Info("worker state", "worker", next.GetId(), "accepting", next.GetAccepting(),
+			"reason", next.GetReason(), "free", next.GetFree().GetCpuMillis())
+	}
+	next.Version++
+	k.board.state = next
+	k.metrics.state(k.left(), next.GetFree())
+	if k.board.pending {
+		return
+	}
+	k.board.pending = true
+	time.AfterFunc(stateInterval, k.publish)
+}
+
+func (k *Keeper) publish() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.board.pending = false
+	close(k.board.wake)
+	k.board.wake = make(chan struct{})
+}
+
+func (k *Keeper) state() *wire.WorkerState {
+	reason := k.refusing()
+	w := &wire.WorkerState{Accepting: reason == "", Reason: reason}
+	l := k.life
+	if l == nil {
+		return w
+	}
+	w.Id = l.name
+	w.Service = l.said.Service
+	w.Capacity = l.said.capacity().wire()
+	w.Free = l.free().wire()
+	w.Labels = l.said.Labels
+	w.Cleared = l.cleared
+	return w
+}
+
+// refusing is the reason for which new runs are refused, empty if they aren't.
+func (k *Keeper) refusing() string {
+	l := k.life
+	switch {
+	case l == nil:
+		return "noWorker"
+	case k.ctx == nil || k.leaving:
+		return "leaving"
+	case l.left:
+		return "workerLeft"
+	case l.said.Draining:
+		return "workerDraining"
+	case l.refused:
+		return "workerReplaced"
+	case k.silent(l):
+		return "workerSilent"
+	case !l.cleared || len(l.strays) > 0:
+		return "clearing"
+	}
+	return ""
+}
+
+// silent tells whether the worker has left holds unanswered for so long that
+// its lease isn't extended any more.
+func (k *Keeper) silent(l *life) bool {
+	return k.steady() > l.repliedAt+k.cfg.Patience
+}
--- a/lib/lease/worker.go
+++ b/lib/lease/worker.go
@@ -24,7 +24,7 @@
 	Spec           string
 	DeadlineMillis int64
 	Fence          uint64
-	// Life of the worker that is meant; any other refuses.
+	// Life is the id that the worker announced; under any other it refuses.
 	Life string
 }
 
@@ -82,6 +82,8 @@
 	Born    int64
 	Running []Running
 	Ended   []Ended
+	// Partial is set where Ended may lack ends, the newest.
+	Partial bool
 }
 
 // Running is one run at a worker.
