--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -27,6 +27,8 @@
 	case k.replaces(a):
 		k.replace(a)
 	default:
+		k.doubted = &a
+		k.life.ask()
 		k.metrics.count("announcements", "late")
 		k.log.Info("announcement of an earlier life ignored", "worker", a.LifeName(), "current", k.life.name)
 	}
@@ -75,6 +77,7 @@
 func (k *Keeper) adopt(a Announcement) {
 	l := newLife(a, k.dial(a), k.steady())
 	k.life = l
+	k.doubted = nil
 	k.log.Info("worker announced", "worker", l.name, "service", a.Service, "address", a.Address)
 	if k.ctx != nil {
 		k.keep(l)
@@ -94,6 +97,7 @@
 	}
 	k.adopt(a)
 	k.log.Info("worker replaced", "worker", k.life.name, "former", old.name, "runs", len(old.active))
+	k.loseUnsent(old, "workerReplaced")
 	switch {
 	case a.ID == old.said.ID:
 		k.inherit(old)
@@ -133,14 +137,20 @@
 
 // lose ends all runs of a life that is surely over.
 func (k *Keeper) lose(l *life, reason string) {
+	k.loseUnsent(l, reason)
+	for _, r := range l.active {
+		k.end(r, wire.RunHow_RUN_HOW_LOST, reason)
+	}
+}
+
+// loseUnsent ends the runs of which no start was sent.
+func (k *Keeper) loseUnsent(l *life, reason string) {
 	for _, r := range l.waiting {
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, reason)
 	}
 	for _, r := range l.active {
-		how := wire.RunHow_RUN_HOW_LOST
 		if r.phase == accepted {
-			how = wire.RunHow_RUN_HOW_NOT_STARTED
+			k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, reason)
 		}
-		k.end(r, how, reason)
 	}
 }
--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -46,7 +46,8 @@
 	// pauseMax.
 	holdPause = 50 * time.Millisecond
 	pauseMax  = 200 * time.Millisecond
-	// clearWait is how long a hold waits while unknown runs are being stopped.
+	// clearWait is how long a hold waits while orders or unknown runs are being
+	// settled.
 	clearWait = 20 * time.Millisecond
 	// pulseInterval is how often the age of the last report is looked at.
 	pulseInterval = 50 * time.Millisecond
@@ -54,6 +55,8 @@
 	pulseAge = 300 * time.Millisecond
 	// tickInterval is how often sessions and silent workers are looked at.
 	tickInterval = 20 * time.Millisecond
+	// forgetTicks is how many ticks are between two looks at what is too old.
+	forgetTicks = 50
 	// stateInterval is for how long changes of the worker's state are gathered.
 	stateInterval = 10 * time.Millisecond
 	// sessionMemory is how long a session that has ended is remembered.
--- a/lib/lease/fault_test.go
+++ b/lib/lease/fault_test.go
@@ -93,15 +93,22 @@
 
 func TestLaunchIsIdempotent(t *testing.T) {
 	onDesk(t, func(d *desk) {
-		d.watch(entryOne, 0)
-		d.accepts(entryOne, 1, "a")
-		d.accepts(entryOne, 1, "a")
+		d.live(entryOne, 850)
+		q := d.order(entryOne, 1, "a")
+		again := func() {
+			reply, err := d.k.Launch(context.Background(), q)
+			d.NoErr(err)
+			d.True(reply.GetResults()[0].GetAccepted())
+		}
+		again()
+		again()
 		d.sleep(10)
-		d.accepts(entryOne, 1, "a")
+		again()
 		d.w.finish("a", 1, Done)
 		d.sleep(10)
 		d.watch(entryOne, 1)
-		d.accepts(entryOne, 1, "a")
+		d.sleep(100)
+		again()
 		d.sleep(10)
 		d.Equal(d.w.startsOf("a"), 1)
 		d.Equal(d.w.running(), nil)
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -83,7 +83,7 @@
 	if l.retired || l.refused || k.ctx == nil {
 		return Hold{}, 0, nil, false
 	}
-	if !l.cleared || len(l.strays) > 0 {
+	if !l.cleared || len(l.strays) > 0 || l.isUnsettled() {
 		wait = min(wait, clearWait)
 	}
 	l.sent++
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -34,7 +34,10 @@
 	dead     []string
 	sessions map[string]*session
 	leaving  bool
-	board    board
+	// doubted is the newest announcement that was ignored for its start.
+	doubted *Announcement
+	ticks   uint64
+	board   board
 }
 
 // New returns a keeper without a worker. dial makes the client of an announced
@@ -94,7 +97,9 @@
 	defer k.mu.Unlock()
 	k.expire()
 	k.lapse()
-	k.forget()
+	if k.ticks++; k.ticks%forgetTicks == 0 {
+		k.forget()
+	}
 	k.changed()
 }
 
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -86,6 +86,17 @@
 
 func (l *life) free() resources { return l.said.capacity().minus(l.used()) }
 
+// isUnsettled tells whether the worker has left starts of a run unanswered, and
+// its stop so far.
+func (l *life) isUnsettled() bool {
+	for _, r := range l.active {
+		if r.phase == stopping && r.unanswered && !r.known {
+			return true
+		}
+	}
+	return false
+}
+
 // noteNumber remembers that the task's runs up to high were used.
 func (l *life) noteNumber(task string, high uint32, now time.Duration) {
 	l.numbers[task] = number{max(high, l.numbers[task].high), now}
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -65,7 +65,7 @@
 	}
 	for _, r := range l.active {
 		if !present[Running{Task: r.key.task, Run: r.number}] && seq > r.proof {
-			k.takeAbsent(r)
+			k.takeAbsent(r, sent)
 		}
 	}
 	for at, s := range l.strays {
@@ -92,13 +92,17 @@
 	k.addStray(l, at)
 }
 
-// takeAbsent ends a run that the worker neither has nor lists as ended.
-func (k *Keeper) takeAbsent(r *run) {
+// takeAbsent ends a run that the worker neither has nor lists as ended. One
+// whose stops are not acknowledged is stopped on, though its starts are void.
+func (k *Keeper) takeAbsent(r *run, sent time.Duration) {
 	switch {
 	case r.phase == running, r.phase == stopping && r.known, r.phase == barred && r.known:
 		k.log.Warn("run is missing at its worker", r.attrs())
 		k.end(r, wire.RunHow_RUN_HOW_LOST, "missing")
 	case r.phase == barred:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
+	case r.phase == stopping && sent > r.startsUntil:
+		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
+		k.addStray(r.life, Running{Task: r.key.task, Run: r.number})
 	}
 }
--- /dev/null
+++ b/lib/lease/settle_test.go
@@ -0,0 +1,140 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// unanswered leaves an order without an answer.
+func unanswered[Q, A any](Q, func() A) (A, error) {
+	var none A
+	time.Sleep(callTimeout)
+	return none, errNoAnswer
+}
+
+func TestRunThatEndedBeforeItsSecondStart(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onHold = unanswered[Hold, Report]
+			d.w.onStart = func(q Start, apply func() Answer) (Answer, error) {
+				if a := apply(); a.Refusal != Accepted {
+					return a, nil
+				}
+				d.w.finish(q.Task, q.Run, Done)
+				return unanswered[Start, Answer](q, apply)
+			}
+		})
+		d.sleep(260)
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(150)
+		d.w.set(func() { d.w.onHold = nil })
+		d.Equal(endsOf(d.live(entryOne, 300)), map[runKey]string{{"a", 1}: "DONE "})
+		d.Equal(d.w.startsOf("a"), 2)
+	})
+}
+
+func TestUnansweredOrdersAreSettledOnceTheyAreVoid(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onStart = unanswered[Start, Answer]
+			d.w.onStop = unanswered[Stop, Answer]
+		})
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		reply := d.live(entryOne, 900)
+		d.Equal(len(reply.GetEnds()), 0)
+		d.Equal(reply.GetWorker().GetReason(), "workerUnanswering")
+		reply = d.live(entryOne, 500)
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "NOT_STARTED unanswered"})
+		d.Equal(reply.GetWorker().GetReason(), "clearing")
+		d.w.set(func() { d.w.onStop = nil })
+		d.True(d.live(entryOne, 200).GetWorker().GetAccepting())
+	})
+}
+
+func TestStartThatWaitedDuringASuspension(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		for range startsAtOnce {
+			d.k.starts <- struct{}{}
+		}
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.clock.skipped += time.Second
+		for range startsAtOnce {
+			<-d.k.starts
+		}
+		d.sleep(1)
+		d.Equal(d.w.startsOf("a"), 0)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "NOT_STARTED sessionEnd"})
+	})
+}
+
+func TestRefusalStays(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.launch(entryOne, 1, "a", "b", "c", "d")
+		d.sleep(5)
+		q := d.order(entryOne, 1, "e")
+		for range 2 {
+			reply, err := d.k.Launch(context.Background(), q)
+			d.NoErr(err)
+			d.Equal(reply.GetResults()[0].GetReason(), "noRoom")
+			d.w.finish("a", 1, Done)
+			d.sleep(5)
+			d.w.set(func() { d.w.runs[Running{Task: "a", Run: 1}] = true })
+		}
+		d.accepts(entryOne, 2, "e")
+	})
+}
+
+func TestReportsThatLackEnds(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(5)
+		d.w.set(func() {
+			d.w.onHold = func(_ Hold, apply func() Report) (Report, error) {
+				r := apply()
+				r.Running, r.Partial = nil, true
+				return r, nil
+			}
+		})
+		d.Equal(len(d.live(entryOne, 600).GetEnds()), 0)
+	})
+}
+
+func TestReportOfAnotherLifeUnderTheSameID(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() { d.w.said.Born = 3000 })
+		d.sleep(600)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerReplaced")
+	})
+}
+
+func TestEarlierBirthIsTakenOnceTheCurrentLifeIsOver(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.w.set(func() { d.w.said.ID = "w2" })
+		next := newFakeWorker("w2", 900)
+		d.announce(next)
+		d.sleep(20)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w2@900")
+	})
+}
+
+func TestNeedsAreReservedWhileALaunchWaits(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.watch(entryTwo, 0)
+		d.launch(entryOne, 1, "a", "b")
+		d.sleep(5)
+		q := d.order(entryTwo, 1, "a")
+		q.Tasks[0].Need.CpuMillis = 2000
+		_, err := d.k.Launch(context.Background(), q)
+		d.NoErr(err)
+		d.Equal(d.launch(entryOne, 1, "c")[0].GetReason(), "noRoom")
+	})
+}
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -61,6 +61,7 @@
 		k.drop(r, "leaseShort")
 		return Start{}, nil, false
 	}
+	r.startsUntil = l.leaseUntil
 	return Start{
 		Task:           r.key.task,
 		Run:            r.number,
@@ -144,6 +145,7 @@
 // noAnswer has a start sent once more, and then settled by a stop.
 func (k *Keeper) noAnswer(r *run, err error, tries int) bool {
 	r.unanswered = true
+	r.life.ask()
 	k.log.Info("start not answered", r.attrs(), "tries", tries, "err", err)
 	if r.phase != starting {
 		return false
@@ -158,12 +160,14 @@
 
 // started takes in that the worker has the run.
 func (k *Keeper) started(r *run) {
-	r.known = true
+	if !r.known {
+		r.known = true
+		r.proof = r.life.sent
+	}
 	if r.phase != starting {
 		return
 	}
 	r.phase = running
-	r.proof = r.life.sent
 	r.startedAt = k.steady()
 	k.metrics.toStart.RecordDuration(r.startedAt - r.acceptedAt)
 	k.log.Info("run started", r.attrs(), "ageMillis", (r.startedAt - r.acceptedAt).Milliseconds())
@@ -209,6 +213,9 @@
 	}
 	l.refused = true
 	k.log.Warn("worker answers for another life", "worker", l.name, "runs", len(l.active))
+	if a := k.doubted; a != nil && l == k.life && k.replaces(*a) {
+		k.replace(*a)
+	}
 }
 
 // extend is the reading of the worker's clock to which an order extends its
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -32,19 +32,28 @@
 		k.log.Info("worker state", "worker", next.GetId(), "accepting", next.GetAccepting(),
 			"reason", next.GetReason(), "free", next.GetFree().GetCpuMillis())
 	}
+	sudden := next.GetAccepting() != k.board.state.GetAccepting()
 	next.Version++
 	k.board.state = next
 	k.metrics.state(k.left(), next.GetFree())
-	if k.board.pending {
-		return
+	switch {
+	case sudden:
+		k.publish()
+	case !k.board.pending:
+		k.board.pending = true
+		time.AfterFunc(stateInterval, k.runPublish)
 	}
-	k.board.pending = true
-	time.AfterFunc(stateInterval, k.publish)
 }
 
-func (k *Keeper) publish() {
+func (k *Keeper) runPublish() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.board.pending {
+		k.publish()
+	}
+}
+
+func (k *Keeper) publish() {
 	k.board.pending = false
 	close(k.board.wake)
 	k.board.wake = make(chan struct{})
@@ -84,6 +93,8 @@
 		return "workerSilent"
 	case !l.cleared || len(l.strays) > 0:
 		return "clearing"
+	case l.isUnsettled():
+		return "workerUnanswering"
 	}
 	return ""
 }
--- a/lib/lease/worker_test.go
+++ b/lib/lease/worker_test.go
@@ -30,10 +30,12 @@
 	onStart func(q Start, apply func() Answer) (Answer, error)
 	onStop  func(q Stop, apply func() Answer) (Answer, error)
 	onHold  func(q Hold, apply func() Report) (Report, error)
-	starts  []Start
-	stops   []Stop
-	holds   []Hold
-	most    int
+	// onRun is called under mu when a run begins.
+	onRun  func(q Start)
+	starts []Start
+	stops  []Stop
+	holds  []Hold
+	most   int
 }
 
 func newFakeWorker(id string, born int64) *fakeWorker {
@@ -131,6 +133,9 @@
 	default:
 		w.runs[at] = true
 		w.most = max(w.most, len(w.runs))
+		if w.onRun != nil {
+			w.onRun(q)
+		}
 	}
 	w.extend(q.DeadlineMillis)
 	return a
