Clock, capacity and a sure end of sessions

Cause: a Watch that is held up on its way renews a session later than its sender reckons, so that silence has no sure bound.

--- /dev/null
+++ b/lib/capacity/vector.go
@@ -0,0 +1,58 @@
+// Package capacity counts what a worker has and what a task needs.
+package capacity
+
+import "skylarklane.example/lib/wire"
+
+// Vector is an amount of each resource.
+type Vector struct {
+	CPUMillis    int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
+// Of returns what a message names.
+func Of(r *wire.Resources) Vector {
+	return Vector{CPUMillis: r.GetCpuMillis(), MemoryMB: r.GetMemoryMb(), Accelerators: r.GetAccelerators()}
+}
+
+// Wire returns the message that names v.
+func (v Vector) Wire() *wire.Resources {
+	return &wire.Resources{CpuMillis: v.CPUMillis, MemoryMb: v.MemoryMB, Accelerators: v.Accelerators}
+}
+
+// Plus returns the sum of v and w.
+func (v Vector) Plus(w Vector) Vector {
+	return Vector{v.CPUMillis + w.CPUMillis, v.MemoryMB + w.MemoryMB, v.Accelerators + w.Accelerators}
+}
+
+// Minus returns v less w.
+func (v Vector) Minus(w Vector) Vector {
+	return Vector{v.CPUMillis - w.CPUMillis, v.MemoryMB - w.MemoryMB, v.Accelerators - w.Accelerators}
+}
+
+// Times returns n times v.
+func (v Vector) Times(n int64) Vector {
+	return Vector{n * v.CPUMillis, n * v.MemoryMB, n * v.Accelerators}
+}
+
+// Fits tells whether v has room in w.
+func (v Vector) Fits(w Vector) bool {
+	return v.CPUMillis <= w.CPUMillis && v.MemoryMB <= w.MemoryMB && v.Accelerators <= w.Accelerators
+}
+
+// Share returns the greatest part of a resource of the whole that v takes.
+func (v Vector) Share(whole Vector) float64 {
+	share := part(v.CPUMillis, whole.CPUMillis)
+	share = max(share, part(v.MemoryMB, whole.MemoryMB))
+	return max(share, part(v.Accelerators, whole.Accelerators))
+}
+
+func part(n, whole int64) float64 {
+	switch {
+	case n <= 0:
+		return 0
+	case whole <= 0:
+		return 1
+	}
+	return float64(n) / float64(whole)
+}
--- /dev/null
+++ b/lib/clock/clock_test.go
@@ -0,0 +1,16 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBootGoesOn(t *testing.T) {
+	is := is.New(t)
+	c := Boot()
+	before := c.Now()
+	time.Sleep(5 * time.Millisecond)
+	is.True(c.Now()-before >= 5*time.Millisecond)
+}
--- /dev/null
+++ b/lib/wire/session.go
@@ -0,0 +1,11 @@
+package wire
+
+import "time"
+
+const (
+	// SessionLength is how long an entry's session at an agent lasts after the
+	// call that renewed it.
+	SessionLength = 800 * time.Millisecond
+	// LeaseAhead is how far ahead an agent holds its worker's lease, at most.
+	LeaseAhead = time.Second
+)
