A desk for best-effort jobs on leased workers

Cause: entries need to place tasks on leased workers without a leader. Change: lib/job follows each agent with one Watch, places tasks by the agents' word (lib/placement: Choose, Conduct, ObjectiveOf), settles launches without an answer by a halt, starts lost tasks elsewhere once their runs have surely ended, and refuses jobs that are hopeless. Ruled out: sending a launch twice, since a copy that was held up may be accepted after the other was refused. Run: go test -race ./job ./placement ./clock ./capacity passes.

--- /dev/null
+++ b/lib/job/admit.go
@@ -0,0 +1,145 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"skylarklane.example/lib/placement"
+)
+
+const (
+	// retryAfter is when to come back where nothing better is known.
+	retryAfter = 500 * time.Millisecond
+	// attemptsKept is how long attempt numbers of an ended job are remembered.
+	attemptsKept = 30 * time.Second
+)
+
+// attemptMark is the highest attempt of the tasks of an ended job.
+type attemptMark struct {
+	attempt uint32
+	at      time.Duration
+}
+
+// admit takes a job in hand, or returns why not. An earlier job of the same ID
+// is stopped first, and this one waits until its runs have ended.
+func (d *Desk) admit(ctx context.Context, j Job) (*work, Outcome) {
+	for {
+		w, earlier, refused := d.tryAdmit(j)
+		if earlier == nil {
+			return w, refused
+		}
+		select {
+		case <-earlier.settled:
+		case <-ctx.Done():
+			return nil, d.refuse(j, reasonCallerLeft)
+		}
+	}
+}
+
+// tryAdmit takes a job in hand unless an earlier one of its ID is still there.
+func (d *Desk) tryAdmit(j Job) (w, earlier *work, refused Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if earlier := d.jobs[j.ID]; earlier != nil {
+		d.finish(earlier, d.stopped(earlier, reasonSentAgain))
+		return nil, earlier, Outcome{}
+	}
+	if d.leaving {
+		return nil, nil, d.refuse(j, reasonLeaving)
+	}
+	if !j.valid() {
+		d.metrics.refusal(reasonInvalid)
+		return nil, nil, Outcome{State: Failed, Reason: reasonInvalid}
+	}
+	if len(d.serving(j.Service)) == 0 {
+		return nil, nil, d.refuse(j, reasonNoWorkers)
+	}
+	return d.take(j), nil, Outcome{}
+}
+
+// take takes a job in hand: it is placed, queued or given up.
+func (d *Desk) take(j Job) *work {
+	now := d.clock.Now()
+	w := newWork(j, d.kindOf(j), now, d.attempts[j.ID].attempt)
+	d.sequence++
+	w.sequence = d.sequence
+	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * d.bestFactor(j.Service, now))
+	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
+	d.jobs[j.ID] = w
+	d.log.Info("A job has come in.", "job", j.ID, "service", j.Service, "kind", j.Kind.GetName(), "tasks", w.tasksLeft,
+		"idealMillis", w.ideal.Milliseconds(), "dueMillis", w.objective.Due.Milliseconds(), "queued", len(d.queue))
+	if d.neverFits(w) {
+		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
+		return w
+	}
+	d.enqueue(w)
+	d.place(now)
+	if w.queued && w.live == 0 {
+		d.mayWait(w, now)
+	}
+	return w
+}
+
+// mayWait gives up a new job that found no room and will hardly get any.
+func (d *Desk) mayWait(w *work, now time.Duration) {
+	if len(d.queue) > d.cfg.MaxQueued {
+		d.giveUp(w, reasonQueueFull)
+		return
+	}
+	ahead := 0.0
+	for _, other := range d.queue {
+		if other == w {
+			break
+		}
+		if other.Service == w.Service {
+			ahead += other.size()
+		}
+	}
+	if d.hopeless(w, ahead, now) {
+		d.giveUp(w, reasonHopeless)
+	}
+}
+
+// refuse is the outcome of a job that was never taken in hand.
+func (d *Desk) refuse(j Job, reason string) Outcome {
+	d.metrics.refusal(reason)
+	d.log.Info("A job is refused.", "job", j.ID, "service", j.Service, "reason", reason)
+	return Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter}
+}
+
+// bestFactor is the speed of the service's best worker.
+func (d *Desk) bestFactor(service string, now time.Duration) float64 {
+	best := 0.0
+	for _, l := range d.serving(service) {
+		if f := l.speed.value(now); best == 0 || f < best {
+			best = f
+		}
+	}
+	return max(best, 0.01)
+}
+
+// neverFits tells whether a step needs more than any worker of the service has,
+// where all agents are known.
+func (d *Desk) neverFits(w *work) bool {
+	for _, l := range d.links {
+		if !l.gone && !l.watching() {
+			return false
+		}
+	}
+	for _, s := range w.steps {
+		if !d.fitsSomewhere(w, s) {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Desk) fitsSomewhere(w *work, s *step) bool {
+	wish := placement.Wish{Need: s.need, Label: s.Label}
+	for _, l := range d.serving(w.Service) {
+		if wish.Holds(placement.Candidate{Capacity: l.capacity, Labels: l.word.GetLabels()}) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lib/job/desk_test.go
@@ -0,0 +1,286 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+var testKind = &wire.Kind{Name: "thermal", MaxAttempts: 3, Stretch: 1.6, SlackMillis: 500, Priority: 1}
+
+// newJob returns a job of n tasks of one core each.
+func newJob(id string, n uint32) Job {
+	return Job{ID: id, Service: "sizing", Kind: testKind, Received: time.Now(), Deadline: time.Now().Add(10 * time.Second),
+		Steps: []Step{{Count: n, Need: &wire.Resources{CpuMillis: 1000, MemoryMb: 10}, Estimate: 100 * time.Millisecond}}}
+}
+
+// submit runs a job in the background.
+func submit(ctx context.Context, d *Desk, j Job) chan Outcome {
+	out := make(chan Outcome, 1)
+	go func() { out <- d.Submit(ctx, j) }()
+	return out
+}
+
+func TestComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newFake("a", 2000, takes(50*time.Millisecond)), newFake("b", 2000, takes(50*time.Millisecond))
+		d := newDesk(t, a, b)
+		began := time.Now()
+		j := newJob("j1", 4)
+		j.Steps = append(j.Steps, Step{Count: 1, Need: j.Steps[0].Need, After: []int{0}})
+		is.Equal(d.Submit(t.Context(), j), Outcome{State: Complete})
+		is.Equal(a.started()+b.started(), 5)
+		is.True(time.Since(began) < 125*time.Millisecond)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		is.Equal(len(d.jobs), 0)
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	big := newJob("big", 1)
+	big.Steps[0].Need = &wire.Resources{CpuMillis: 5000}
+	wrong := newJob("wrong", 1)
+	wrong.Steps[0].After = []int{0}
+	other := newJob("other", 1)
+	other.Service = "other"
+	tests := []struct {
+		name   string
+		job    Job
+		behave func(string, uint32) (time.Duration, wire.RunHow)
+		state  State
+		reason string
+		starts int
+	}{
+		{"never fits", big, takes(time.Second), Failed, reasonNeverFits, 0},
+		{"invalid", wrong, takes(time.Second), Failed, reasonInvalid, 0},
+		{"no workers", other, takes(time.Second), NotRun, reasonNoWorkers, 0},
+		{"fails as often as it may", newJob("j", 1), fails, Failed, reasonAttempts, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a, b := newFake("a", 2000, test.behave), newFake("b", 2000, test.behave)
+				d := newDesk(t, a, b)
+				test.job.Received = time.Now()
+				test.job.Deadline = time.Time{}
+				out := d.Submit(t.Context(), test.job)
+				is.Equal(out.State, test.state)
+				is.Equal(out.Reason, test.reason)
+				is.Equal(a.started()+b.started(), test.starts)
+			})
+		})
+	}
+}
+
+// TestRetries loses or fails the first run in many ways; the job is completed
+// by a later one, and no two runs of a task are alive at once.
+func TestRetries(t *testing.T) {
+	tests := []struct {
+		name string
+		// fault is done 20 ms after the job was handed in.
+		fault  func(a *fakeAgent)
+		before func(a *fakeAgent)
+		behave func(string, uint32) (time.Duration, wire.RunHow)
+		// least and most bound the time that the job takes.
+		least, most time.Duration
+	}{
+		{name: "failed run", behave: fails, most: 200 * time.Millisecond},
+		{name: "lost reply to the launch", before: func(a *fakeAgent) { a.cut("from Launch") }, most: 600 * time.Millisecond},
+		{name: "lost launch", before: func(a *fakeAgent) { a.cut("to Launch") }, most: 600 * time.Millisecond},
+		{
+			name:  "silent agent",
+			fault: func(a *fakeAgent) { a.cut("to Watch", "to Launch", "to Halt") },
+			least: 1800 * time.Millisecond, most: 2500 * time.Millisecond,
+		},
+		{
+			name:  "answers that get lost",
+			fault: func(a *fakeAgent) { a.cut("from Watch", "from Launch", "from Halt") },
+			least: 1800 * time.Millisecond, most: 2500 * time.Millisecond,
+		},
+		{
+			name: "restarted agent",
+			fault: func(a *fakeAgent) {
+				a.restart()
+				time.AfterFunc(900*time.Millisecond, func() { a.set(func() { a.cleared = true }) })
+			},
+			least: 900 * time.Millisecond, most: 1200 * time.Millisecond,
+		},
+		{
+			name: "lost run",
+			fault: func(a *fakeAgent) {
+				a.set(func() {
+					for key := range a.runs {
+						a.end(key, wire.RunHow_RUN_HOW_LOST)
+					}
+					a.accepting = false
+				})
+			},
+			most: 200 * time.Millisecond,
+		},
+		{
+			name: "run that hangs", behave: func(task string, _ uint32) (time.Duration, wire.RunHow) {
+				return time.Minute, wire.RunHow_RUN_HOW_DONE
+			},
+			least: 800 * time.Millisecond, most: time.Second,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				behave := test.behave
+				if behave == nil {
+					behave = takes(5 * time.Second)
+				}
+				a, b := newFake("a", 2000, behave), newFake("b", 1000, takes(50*time.Millisecond))
+				if test.before != nil {
+					test.before(a)
+				}
+				b.set(func() { b.accepting = false })
+				d := newDesk(t, a, b)
+				began := time.Now()
+				j := newJob("j1", 1)
+				kind := &wire.Kind{Name: "patient", MaxAttempts: 3, Priority: 1}
+				j.Kind = kind
+				out := submit(t.Context(), d, j)
+				time.Sleep(20 * time.Millisecond)
+				if test.fault != nil {
+					test.fault(a)
+				}
+				b.set(func() { b.accepting = true })
+				is.Equal(<-out, Outcome{State: Complete})
+				took := time.Since(began)
+				is.True(took >= test.least && took <= test.most) // time to the answer
+				is.Equal(b.started(), 1)
+				is.Equal(a.live(), 0)
+			})
+		})
+	}
+}
+
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 2000, takes(5*time.Second))
+		a.cut("from Halt")
+		d := newDesk(t, a)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.Equal(d.Submit(ctx, newJob("j1", 2)).State, Abandoned)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(a.live(), 0)
+		a.cut("to Halt")
+		ctx, cancel = context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.Equal(d.Submit(ctx, newJob("j2", 2)).State, Abandoned)
+		time.Sleep(1200 * time.Millisecond)
+		is.Equal(a.live(), 0) // the session was left to end, since no halt gets through
+	})
+}
+
+func TestSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 9000, takes(200*time.Millisecond))
+		d := newDesk(t, a)
+		first := submit(t.Context(), d, newJob("j1", 2))
+		time.Sleep(50 * time.Millisecond)
+		a.cut("to Halt")
+		second := submit(t.Context(), d, newJob("j1", 2))
+		is.Equal((<-first).Reason, reasonSentAgain)
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(a.started(), 2) // the second waits for the halt of the first
+		a.cut()
+		is.Equal((<-second).State, Complete)
+		is.Equal(a.started(), 4)
+		is.Equal(a.launched[3].attempt, uint32(2))
+	})
+}
+
+func TestQueueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 1000, takes(50*time.Millisecond))
+		d := newDesk(t, a)
+		urgent := &wire.Kind{Name: "urgent", MaxAttempts: 1, Priority: 0, Stretch: 1, SlackMillis: 2000}
+		outs := []chan Outcome{submit(t.Context(), d, newJob("first", 1))}
+		synctest.Wait()
+		for i, kind := range []*wire.Kind{testKind, testKind, urgent, urgent} {
+			j := newJob(fmt.Sprint(i), 1)
+			j.Kind = kind
+			if i%2 == 1 { // the second of each priority has less time left
+				j.Received = j.Received.Add(-50 * time.Millisecond)
+			}
+			outs = append(outs, submit(t.Context(), d, j))
+			synctest.Wait()
+		}
+		for _, out := range outs {
+			is.Equal((<-out).State, Complete)
+		}
+		want := []string{"first", "3", "2", "1", "0"}
+		for i, key := range a.launched {
+			is.Equal(key.task, want[i]+".0.0.0")
+		}
+	})
+}
+
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 1000, takes(100*time.Millisecond))
+		d := newDesk(t, a)
+		counts := map[State]int{}
+		var outs []chan Outcome
+		for i := range 60 {
+			outs = append(outs, submit(t.Context(), d, newJob(fmt.Sprint(i), 1)))
+		}
+		synctest.Wait()
+		for _, out := range outs {
+			select {
+			case o := <-out:
+				is.Equal(o.Reason, reasonHopeless)
+				is.True(o.RetryAfter > 0)
+				counts[NotRun]++
+			default:
+				counts[Complete]++ // still open
+			}
+		}
+		// Three times the objective of 660 ms is time for about 19 jobs.
+		is.True(counts[Complete] >= 17 && counts[Complete] <= 21)
+	})
+}
+
+func TestEjection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		bad := newFake("bad", 9000, fails)
+		d := newDesk(t, bad, newFake("b", 2000, takes(50*time.Millisecond)), newFake("c", 2000, takes(50*time.Millisecond)))
+		for i := range 20 {
+			is.Equal(d.Submit(t.Context(), newJob(fmt.Sprint(i), 1)).State, Complete)
+		}
+		is.True(bad.started() >= 2 && bad.started() <= 5)
+	})
+}
+
+func TestShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 2000, takes(300*time.Millisecond))
+		d := newDesk(t, a)
+		out := submit(t.Context(), d, newJob("j1", 2))
+		time.Sleep(50 * time.Millisecond)
+		go d.Shutdown(t.Context())
+		synctest.Wait()
+		is.Equal(d.Submit(t.Context(), newJob("j2", 1)).Reason, reasonLeaving)
+		is.Equal((<-out).State, Complete)
+	})
+}
--- a/lib/job/job.go
+++ b/lib/job/job.go
@@ -63,3 +63,18 @@
 	// RetryAfter is when to come back where the job was not run.
 	RetryAfter time.Duration
 }
+
+// String returns the camelCase name of the state.
+func (s State) String() string {
+	switch s {
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case NotRun:
+		return "notRun"
+	case Abandoned:
+		return "abandoned"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/lib/job/kind.go
@@ -0,0 +1,69 @@
+package job
+
+import (
+	"math"
+	"time"
+
+	"skylarklane.example/lib/placement"
+)
+
+// trust is the number of samples that are worth as much as what was assumed
+// before.
+const trust = 3
+
+// factorMemory is how long a learned speed lasts without new runs.
+const factorMemory = 30 * time.Second
+
+// kind is what the desk has learned of a kind of request: its run times over
+// their estimates, at a worker of factor 1.
+type kind struct {
+	ratio placement.Average
+}
+
+// expected returns the run time at a worker of factor 1.
+func (k *kind) expected(estimate time.Duration) time.Duration {
+	return time.Duration(float64(estimate) * shrunk(k.ratio, 1))
+}
+
+// shrunk returns the value of an average, moved towards 1 where it has few
+// samples or has kept only a part of its weight.
+func shrunk(a placement.Average, kept float64) float64 {
+	n := float64(a.N)
+	return math.Exp(a.Log * kept * n / (n + trust))
+}
+
+// speed is what the desk has learned of a worker's life.
+type speed struct {
+	factor placement.Average
+	at     time.Duration
+}
+
+// value returns the run time at the worker over that at one of factor 1.
+func (s speed) value(now time.Duration) float64 {
+	kept := math.Exp(-float64(now-s.at) / float64(factorMemory))
+	return shrunk(s.factor, kept)
+}
+
+// learn takes a run into what is known of its kind and its worker.
+func (d *Desk) learn(r *run, ran, now time.Duration) {
+	estimate := r.task.step.estimate
+	if ran <= 0 || estimate <= 0 {
+		return
+	}
+	ratio := float64(ran) / float64(estimate)
+	if r.remote {
+		ratio /= d.cfg.Remote
+	}
+	sample := time.Duration(ratio * float64(time.Second))
+	r.work.kind.ratio, r.link.speed.factor = placement.Learn(r.work.kind.ratio, r.link.speed.factor, sample)
+	r.link.speed.at = now
+}
+
+// kindOf returns what is known of the kind of a job.
+func (d *Desk) kindOf(j Job) *kind {
+	name := j.Service + "/" + j.Kind.GetName()
+	if d.kinds[name] == nil {
+		d.kinds[name] = &kind{}
+	}
+	return d.kinds[name]
+}
--- /dev/null
+++ b/lib/job/place.go
@@ -0,0 +1,183 @@
+package job
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"skylarklane.example/lib/capacity"
+	"skylarklane.example/lib/placement"
+)
+
+// pass is one attempt to place what is queued.
+type pass struct {
+	d      *Desk
+	now    time.Duration
+	fields map[string]*field
+}
+
+// field is the workers of one service in a pass.
+type field struct {
+	links      []*link
+	candidates []placement.Candidate
+	barred     []bool
+	// full lists needs for which no worker has room.
+	full []fullFor
+}
+
+// fullFor is a need for which there is no room.
+type fullFor struct {
+	label string
+	need  capacity.Vector
+}
+
+// place starts what is queued and has room, in order.
+func (d *Desk) place(now time.Duration) {
+	if len(d.queue) == 0 || d.ctx.Err() != nil || now < d.notBefore || now-d.tickedAt > gapLimit {
+		return
+	}
+	d.sortQueue(now)
+	p := &pass{d: d, now: now, fields: map[string]*field{}}
+	d.queue = slices.DeleteFunc(d.queue, func(w *work) bool {
+		p.serve(w)
+		w.queued = len(w.pending) > 0
+		return !w.queued
+	})
+}
+
+// serve places what it can of one job, with one launch for each agent.
+func (p *pass) serve(w *work) {
+	f := p.field(w.Service)
+	var launches []*launch
+	w.pending = slices.DeleteFunc(w.pending, func(t *task) bool {
+		i, ok := p.choose(f, w, t)
+		if !ok {
+			return false
+		}
+		launches = p.put(launches, f, i, w, t)
+		return true
+	})
+	for _, o := range launches {
+		p.send(o)
+	}
+}
+
+// put adds a run of the task at worker i to the launches.
+func (p *pass) put(launches []*launch, f *field, i int, w *work, t *task) []*launch {
+	l := f.links[i]
+	f.candidates[i] = f.candidates[i].WithRun(t.step.need)
+	r := p.d.begin(w, t, l, p.now)
+	f.barred[i] = f.barred[i] || r.trial
+	at := slices.IndexFunc(launches, func(o *launch) bool { return o.link == l })
+	if at < 0 {
+		at = len(launches)
+		launches = append(launches, p.d.newLaunch(w, l, p.now))
+	}
+	launches[at].add(r)
+	return launches
+}
+
+// send starts the call of a launch.
+func (p *pass) send(o *launch) {
+	o.work.offered = true
+	l := o.link
+	p.d.log.Info("Tasks are placed.", "job", o.work.ID, "tasks", len(o.runs), "agent", l.agent.GetId(),
+		"worker", l.word.GetId(), "attempt", o.runs[0].attempt, "freeCpuMillis", l.free.CPUMillis, "factor", l.speed.value(p.now),
+		"version", l.word.GetVersion(), "wordAgeMillis", (p.now - l.wordAt).Milliseconds(), "waitedMillis", (p.now - o.work.receivedAt).Milliseconds())
+	p.d.calls.Go(o.run)
+}
+
+// choose returns the worker for one task.
+func (p *pass) choose(f *field, w *work, t *task) (int, bool) {
+	s := t.step
+	limited := len(t.avoid) > 0 || s.MaxPerWorker > 0
+	if !limited && f.isFull(s) {
+		return 0, false
+	}
+	wish := p.wish(w, s)
+	i, verdict := placement.Choose(f.candidates, wish, func(i int) bool {
+		return f.barred[i] || p.crowded(f.links[i], s) || slices.Contains(t.avoid, f.links[i].word.GetId())
+	})
+	if verdict == placement.Nowhere && len(t.avoid) > 0 {
+		i, verdict = placement.Choose(f.candidates, wish, func(i int) bool {
+			return f.barred[i] || p.crowded(f.links[i], s)
+		})
+	}
+	if verdict == placement.NoRoom && !limited {
+		f.full = append(f.full, fullFor{s.Label, s.need})
+	}
+	return i, verdict == placement.Chosen
+}
+
+// crowded tells whether a worker has as many tasks of the step as it may.
+func (p *pass) crowded(l *link, s *step) bool {
+	return s.MaxPerWorker > 0 && s.placed[l.word.GetId()] >= s.MaxPerWorker
+}
+
+// wish is what the tasks of a step need.
+func (p *pass) wish(w *work, s *step) placement.Wish {
+	return placement.Wish{
+		Need:   s.need,
+		Label:  s.Label,
+		Rack:   s.Rack,
+		Remote: p.d.cfg.Remote,
+		Run:    w.kind.expected(s.estimate),
+		Left:   w.dueAt() - p.now,
+	}
+}
+
+// isFull tells whether no worker had room for a need that is no greater.
+func (f *field) isFull(s *step) bool {
+	return slices.ContainsFunc(f.full, func(one fullFor) bool {
+		return one.label == s.Label && one.need.Fits(s.need)
+	})
+}
+
+// field returns the workers of a service.
+func (p *pass) field(service string) *field {
+	f := p.fields[service]
+	if f != nil {
+		return f
+	}
+	f = &field{}
+	p.fields[service] = f
+	var conducts []placement.Conduct
+	for _, l := range p.d.serving(service) {
+		if !l.word.GetAccepting() || l.silent(p.now) || l.member.GetLeaving() {
+			continue
+		}
+		f.links = append(f.links, l)
+		f.candidates = append(f.candidates, p.candidate(l))
+		conducts = append(conducts, l.conduct)
+	}
+	f.barred = placement.Barred(conducts, p.now)
+	return f
+}
+
+// candidate is the value that the choice works on.
+func (p *pass) candidate(l *link) placement.Candidate {
+	c := placement.Candidate{
+		Capacity: l.capacity,
+		Labels:   l.word.GetLabels(),
+		Factor:   l.speed.value(p.now),
+		Near:     p.d.cfg.DataCentre == "" || l.member.GetDataCentre() == p.d.cfg.DataCentre,
+		Jitter:   rand.Float64(),
+	}
+	if l.mayLaunch(p.now) {
+		c.Free = l.room()
+	} else {
+		c.Free = capacity.Vector{CPUMillis: -1}
+	}
+	return c
+}
+
+// serving returns the agents in the directory whose worker is of the service.
+func (d *Desk) serving(service string) []*link {
+	var links []*link
+	for _, l := range d.links {
+		if !l.gone && l.watching() && l.word.GetService() == service {
+			links = append(links, l)
+		}
+	}
+	return links
+}
--- /dev/null
+++ b/lib/job/queue.go
@@ -0,0 +1,111 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"skylarklane.example/lib/placement"
+)
+
+// enqueue has the pending tasks of a job placed when there is room.
+func (d *Desk) enqueue(w *work) {
+	if w.answered || w.queued || len(w.pending) == 0 {
+		return
+	}
+	w.queued = true
+	d.queue = append(d.queue, w)
+}
+
+// dequeue takes a job out of the queue.
+func (d *Desk) dequeue(w *work) {
+	w.pending = nil
+	if !w.queued {
+		return
+	}
+	w.queued = false
+	d.queue = slices.DeleteFunc(d.queue, func(one *work) bool { return one == w })
+}
+
+// sortQueue orders the queue: by priority, then jobs that can make their
+// objective before those that can't, then by the time left to start, then
+// large ones first.
+func (d *Desk) sortQueue(now time.Duration) {
+	slices.SortFunc(d.queue, func(a, b *work) int { return compare(a, b, now) })
+}
+
+func compare(a, b *work, now time.Duration) int {
+	if c := cmp.Compare(a.Kind.GetPriority(), b.Kind.GetPriority()); c != 0 {
+		return c
+	}
+	if late := a.late(now); late != b.late(now) {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	if c := cmp.Compare(a.startBy(), b.startBy()); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(b.size(), a.size()); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.sequence, b.sequence)
+}
+
+// startBy is when the job must start to make its objective.
+func (w *work) startBy() time.Duration {
+	if w.objective.Due == 0 {
+		return w.deadlineAt
+	}
+	return w.dueAt() - w.ideal
+}
+
+// late tells whether the job can't make its objective any more.
+func (w *work) late(now time.Duration) bool { return now > w.startBy() }
+
+// prune gives up queued jobs that will hardly be served in time. Jobs are
+// refused early rather than held in vain.
+func (d *Desk) prune(now time.Duration) {
+	d.sortQueue(now)
+	ahead := map[string]float64{}
+	for _, w := range slices.Clone(d.queue) {
+		if !w.queued {
+			continue
+		}
+		if w.live == 0 && d.hopeless(w, ahead[w.Service], now) {
+			d.giveUp(w, reasonHopeless)
+			continue
+		}
+		ahead[w.Service] += w.size()
+	}
+}
+
+// hopeless tells whether a job with this work before it will hardly end while
+// it is worth something.
+func (d *Desk) hopeless(w *work, ahead float64, now time.Duration) bool {
+	last := w.lastAt()
+	if last == never {
+		return false
+	}
+	b := d.backlog(w.Service)
+	b.Ahead = ahead
+	return now+b.Wait()+w.remaining() > last
+}
+
+// remaining is the least time that the job still needs.
+func (w *work) remaining() time.Duration { return w.kind.expected(w.chain()) }
+
+// backlog sums up the service's workers and the entry's own runs there.
+func (d *Desk) backlog(service string) placement.Backlog {
+	b := placement.Backlog{}
+	for _, l := range d.serving(service) {
+		if l.word.GetAccepting() {
+			b.Capacity += l.capacity.CPUMillis
+		}
+		for _, r := range l.runs {
+			b.Running += r.need.CPUMillis
+		}
+	}
+	return b
+}
