Logs that never wait for their reader, and a catalogue of events

Cause: a daemon's log wrote each line in the caller's goroutine, so a reader that stops reading standard output stops the callers; lines had free texts. Change: process.OpenLog puts a bounded queue (4,096 lines, 1 MiB) before one writer goroutine. Under load lines are sampled by event, one job's lines alike at all processes; with a full queue successes make room for refusals, failures and changes, and those for warnings. linesLeftOut counts what is missing. Lines carry up (CLOCK_BOOTTIME), process and incarnation (process.Identify). lib/event is the catalogue; go generate ./lib/event writes its table into docs/OPERATIONS.md (formerly OPERATING.md) and a test fails where it is stale. Ruled out: a lock held while formatting (a value's Error or LogValue may wait for a goroutine that logs); reading CLOCK_BOOTTIME for each line (a system call). Conclusion: TestLogNeverBlocks logs 40,000 lines into a pipe that nobody reads.

--- /dev/null
+++ b/lib/event/generate.go
@@ -0,0 +1,3 @@
+package event
+
+//go:generate go test -run TestPageHoldsCatalogue -update
--- /dev/null
+++ b/lib/event/process.go
@@ -0,0 +1,28 @@
+package event
+
+import "log/slog"
+
+var ofAll = section{PartAll}
+
+// What every process logs.
+var (
+	ProcessStarted = ofAll.change("processStarted", "Ready.",
+		"The settings were read and the process listens.",
+		Field{"version", "version of the program"}, address, Field{"dataCentre", "data centre"}, Field{"rack", "rack"}, Field{"announce", "address for announcements"}, Field{"metrics", "address of the metrics page"})
+	Stopping = ofAll.change("stopping", "The process is leaving.",
+		"It takes nothing new and finishes what is in flight.", reason, Field{"inFlight", "requests or runs in flight"})
+	Stopped = ofAll.change("stopped", "The process has stopped.",
+		"The last line of a process that ended in good order.", reason, Field{"leftOver", "requests or runs that were cut off"})
+	Failed = ofAll.add(Failure, slog.LevelError, "processFailed", "The process failed.",
+		"The last line of a process that ended with exit code 1.", problem)
+	Reloaded = ofAll.change("reloaded", "The settings were read again.",
+		"A SIGHUP came.", Field{"changed", "names of the fields that changed"}, problem)
+	ConfigInForce = ofAll.change("configInForce", "A configuration is in force.",
+		"From now on the process decides by it.", version, Field{"before", "version that it replaces"}, age, Field{"from", "control host that sent it"})
+	DependencyLost = ofAll.warning(Change, "dependencyLost", "A dependency is lost.",
+		"The process goes on with what it knows.", Field{"dependency", "what is lost, such as control"}, address, problem, silence)
+	DependencyRegained = ofAll.change("dependencyRegained", "A dependency is back.",
+		"The process follows it again.", Field{"dependency", "what is back"}, address, silence)
+	LinesLeftOut = ofAll.add(Change, slog.LevelWarn, "linesLeftOut", "Lines were left out.",
+		"The log is under load, or its reader is slow.", Field{"sampledOut", "lines by event that sampling left out"}, Field{"noRoom", "lines by event that the full queue left out"})
+)
--- /dev/null
+++ b/lib/event/table.go
@@ -0,0 +1,38 @@
+package event
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Markers between which a page holds the catalogue.
+const (
+	TableBegin = "<!-- catalogue of events: begin -->"
+	TableEnd   = "<!-- catalogue of events: end -->"
+)
+
+// Table returns the catalogue as Markdown.
+func Table() string {
+	var b strings.Builder
+	b.WriteString("| field in each line | meaning |\n|---|---|\n")
+	for _, f := range CommonFields {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", f.Name, f.Meaning)
+	}
+	part := ""
+	for _, e := range catalogue {
+		if e.part != part {
+			part = e.part
+			fmt.Fprintf(&b, "\nPart: %s\n\n| event | level | class | when | fields |\n|---|---|---|---|---|\n", part)
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s %s | %s |\n", e.name, e.level, e.class, e.sentence, e.meaning, fieldsOf(e))
+	}
+	return b.String()
+}
+
+func fieldsOf(e *Event) string {
+	var names []string
+	for _, f := range e.fields {
+		names = append(names, "`"+f.Name+"`: "+f.Meaning)
+	}
+	return strings.Join(names, "; ")
+}
--- a/lib/process/log.go
+++ b/lib/process/log.go
@@ -6,16 +6,78 @@
 	"context"
 	"io"
 	"log/slog"
+	"time"
+
+	"skylarklane.example/lib/wire"
+)
+
+// Attributes that tell the lines of processes apart.
+const (
+	logProcess     = "process"
+	logIncarnation = "incarnation"
 )
 
 // NewLogger returns a logger whose messages start with the name of the part,
-// such as "entry: ". Lines are JSON where json is set, else text.
+// such as "entry: ". Lines are JSON where json is set, else text. Each line is
+// written before the call returns.
 func NewLogger(w io.Writer, part string, json bool) *slog.Logger {
-	var h slog.Handler = slog.NewTextHandler(w, nil)
+	return slog.New(prefixHandler{Handler: newLineHandler(w, json), prefix: part + ": "})
+}
+
+// newLineHandler returns a handler that writes one line for each record.
+func newLineHandler(w io.Writer, json bool) slog.Handler {
 	if json {
-		h = slog.NewJSONHandler(w, nil)
+		return slog.NewJSONHandler(w, nil)
+	}
+	return slog.NewTextHandler(w, nil)
+}
+
+// Log is the log of a daemon. Its logger never waits for the reader of the
+// lines: a bounded queue leads to the one goroutine that writes. Lines are left
+// out under load, successes first, and counted.
+type Log struct {
+	core   *logCore
+	writer *logWriter
+	logger *slog.Logger
+}
+
+// OpenLog starts a log that writes to w. Close ends it.
+func OpenLog(w io.Writer, part string, json bool) *Log {
+	return openLog(w, part, json, queueLimits{lines: maxQueuedLines, bytes: maxQueuedBytes})
+}
+
+func openLog(w io.Writer, part string, json bool, limits queueLimits) *Log {
+	core := newLogCore(part, json, limits)
+	writer := newLogWriter(w, core)
+	go writer.run()
+	return &Log{core: core, writer: writer, logger: slog.New(newBoundedHandler(core))}
+}
+
+// Logger returns the logger.
+func (l *Log) Logger() *slog.Logger { return l.logger }
+
+// Close writes what is queued, waits at most timeout for that, and tells
+// whether all was written. Later lines are left out.
+func (l *Log) Close(timeout time.Duration) bool {
+	l.core.queue.close()
+	select {
+	case <-l.writer.done:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// Identify returns a logger whose lines name the process and its incarnation.
+func Identify(log *slog.Logger, who *wire.Incarnation) *slog.Logger {
+	attrs := []slog.Attr{
+		slog.String(logProcess, who.GetId()),
+		slog.String(logIncarnation, formatIncarnation(who.GetNumber())),
+	}
+	if h, ok := log.Handler().(*boundedHandler); ok {
+		h.core.identity.Store(&attrs)
 	}
-	return slog.New(prefixHandler{Handler: h, prefix: part + ": "})
+	return slog.New(log.Handler().WithAttrs(attrs))
 }
 
 // prefixHandler puts a fixed prefix before each message.
--- /dev/null
+++ b/lib/process/log_handler.go
@@ -0,0 +1,113 @@
+package process
+
+import (
+	"context"
+	"hash/fnv"
+	"io"
+	"log/slog"
+
+	"skylarklane.example/lib/event"
+)
+
+// Attributes that the handler reads or adds.
+const (
+	logJob     = "job"
+	logUp      = "up"
+	logSampled = "sampled"
+)
+
+// boundedHandler formats lines in the caller's goroutine and queues them.
+type boundedHandler struct {
+	core *logCore
+	// inner has one handler for each priority; each ends in its own sink.
+	inner [priorities]slog.Handler
+	// job is the job of all lines of this handler, if any.
+	job string
+}
+
+func newBoundedHandler(core *logCore) *boundedHandler {
+	h := &boundedHandler{core: core}
+	for p := range h.inner {
+		h.inner[p] = newLineHandler(core.sink(priority(p)), core.json)
+	}
+	return h
+}
+
+// Enabled implements slog.Handler.
+func (h *boundedHandler) Enabled(_ context.Context, level slog.Level) bool {
+	return level >= slog.LevelInfo
+}
+
+// Handle implements slog.Handler.
+func (h *boundedHandler) Handle(ctx context.Context, r slog.Record) error {
+	e, job := h.look(r)
+	p := priorityOf(e, r.Level)
+	key := r.Message
+	if e != nil {
+		key = e.Name()
+	}
+	up := h.core.clock.millis()
+	keep, sampled := h.core.sampler.admit(key, p, job, up)
+	if !keep {
+		h.core.leftOut.addSampled(key)
+		return nil
+	}
+	h.core.complete(&r, up)
+	if sampled > 1 {
+		r.AddAttrs(slog.Int(logSampled, sampled))
+	}
+	return h.inner[p].Handle(ctx, r)
+}
+
+// look finds the event and the job of a line.
+func (h *boundedHandler) look(r slog.Record) (*event.Event, string) {
+	var e *event.Event
+	job := h.job
+	r.Attrs(func(a slog.Attr) bool {
+		switch a.Key {
+		case event.Key:
+			e = event.Of(a.Value)
+		case logJob:
+			job = a.Value.String()
+		}
+		return e == nil || job == ""
+	})
+	return e, job
+}
+
+// complete adds the prefix and the time since the start.
+func (c *logCore) complete(r *slog.Record, up int64) {
+	r.Message = c.prefix + r.Message
+	r.AddAttrs(slog.Int64(logUp, up))
+}
+
+// WithAttrs implements slog.Handler.
+func (h *boundedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	c := h.each(func(inner slog.Handler) slog.Handler { return inner.WithAttrs(attrs) })
+	for _, a := range attrs {
+		if a.Key == logJob {
+			c.job = a.Value.String()
+		}
+	}
+	return c
+}
+
+// WithGroup implements slog.Handler.
+func (h *boundedHandler) WithGroup(name string) slog.Handler {
+	return h.each(func(inner slog.Handler) slog.Handler { return inner.WithGroup(name) })
+}
+
+func (h *boundedHandler) each(with func(slog.Handler) slog.Handler) *boundedHandler {
+	c := *h
+	for p := range c.inner {
+		c.inner[p] = with(c.inner[p])
+	}
+	return &c
+}
+
+// hashOf returns the number by which all processes sample a job alike.
+func hashOf(job string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, job)
+	return h.Sum64()
+}
--- a/lib/process/ready.go
+++ b/lib/process/ready.go
@@ -1,6 +1,11 @@
 package process
 
-import "log/slog"
+import (
+	"context"
+	"log/slog"
+
+	"skylarklane.example/lib/event"
+)
 
 // ReadyFunc is called once a part listens. Address is where other processes
 // reach it; announce is where backend servers announce themselves to an agent,
@@ -10,6 +15,6 @@
 // LogReady returns a function that logs the addresses.
 func LogReady(log *slog.Logger) ReadyFunc {
 	return func(address, announce string) {
-		log.Info("Ready.", "address", address, "announce", announce)
+		event.ProcessStarted.Log(context.Background(), log, slog.String("address", address), slog.String("announce", announce))
 	}
 }
