skylarklane explain: one request's story from the logs of all processes

Cause: on call there are only logs; a request's lines are spread over an entry, agents and control hosts with clocks of their own. Change: internal/story reads JSON and text lines, also behind a prefix with a process and a time, puts each incarnation's lines on one time scale by their time since its start, takes the lines that name the request and those that bear on it (what its entry, agents and workers went through, the control group, and conditions that had begun before), lists what was not seen and names the likely cause by tables of rules for each way in which a request ends. cmd_explain prints it, or JSON. Ruled out: ordering by the time of day, which jumps.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -27,6 +27,7 @@
 	Workers cmdWorkers `cmd:"" help:"Show the workers and their backend servers."`
 	Submit  cmdSubmit  `cmd:"" help:"Submit a job and print its answer."`
 	Drain   cmdDrain   `cmd:"" help:"Ask an entry or agent to leave."`
+	Explain cmdExplain `cmd:"" help:"Tell the story of one request from the logs, and the likely cause of its end."`
 	Version cmdVersion `cmd:"" help:"Print the version."`
 
 	Completion cmdCompletion `cmd:"" help:"Print a completion script for a shell."`
@@ -45,6 +46,7 @@
 // env is what every command gets.
 type env struct {
 	ctx     context.Context
+	in      io.Reader
 	out     io.Writer
 	err     io.Writer
 	client  *http.Client
@@ -72,7 +74,7 @@
 	}
 	ctx, cancel := process.SignalContext()
 	defer cancel()
-	e := &env{ctx: ctx, out: out, err: errOut, client: client, version: strings.TrimSpace(version)}
+	e := &env{ctx: ctx, in: os.Stdin, out: out, err: errOut, client: client, version: strings.TrimSpace(version)}
 	return exitCode(errOut, call.Run(e, parser))
 }
 
--- /dev/null
+++ b/internal/story/error.go
@@ -0,0 +1,23 @@
+package story
+
+// Kind sorts the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	KindRead Kind = iota + 1
+	KindUnknown
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/story/parse.go
@@ -0,0 +1,158 @@
+package story
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const microsPerSecond = 1e6
+
+var (
+	// pairStart finds the first key=value of a text line.
+	pairStart = regexp.MustCompile(`(?:^|\s)([A-Za-z][\w.]*)=`)
+	// prefixSeconds finds a time in seconds before the line proper, as a
+	// program that gathers the output of many processes puts it there.
+	prefixSeconds = regexp.MustCompile(`\d+\.\d+`)
+	// prefixName finds the name of a process there.
+	prefixName = regexp.MustCompile(`\b[A-Za-z][\w.-]*`)
+)
+
+// parse reads one line of a log: JSON or key=value text, after any prefix. It
+// returns nil for other text.
+func parse(text string) *Line {
+	l := &Line{Up: unknownUp, Fields: map[string]string{}}
+	prefix, ok := l.readJSON(text)
+	if !ok {
+		prefix, ok = l.readPairs(text)
+	}
+	if !ok || l.Message == "" {
+		return nil
+	}
+	l.readPrefix(prefix)
+	return l
+}
+
+// readJSON reads the first JSON object of text and returns what is before it.
+func (l *Line) readJSON(text string) (prefix string, ok bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 {
+		return "", false
+	}
+	decoder := json.NewDecoder(strings.NewReader(text[start:]))
+	decoder.UseNumber()
+	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
+		return "", false
+	}
+	if !l.readObject(decoder, "") {
+		return "", false
+	}
+	return text[:start], true
+}
+
+// readObject reads the rest of an object; nested names are joined by dots.
+func (l *Line) readObject(decoder *json.Decoder, path string) bool {
+	for decoder.More() {
+		key, err := decoder.Token()
+		if err != nil {
+			return false
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return false
+		}
+		l.readValue(path+key.(string), value)
+	}
+	_, err := decoder.Token()
+	return err == nil
+}
+
+func (l *Line) readValue(key string, value json.RawMessage) {
+	var s string
+	switch {
+	case bytes.HasPrefix(value, []byte("{")):
+		nested := json.NewDecoder(bytes.NewReader(value))
+		_, _ = nested.Token()
+		l.readObject(nested, key+".")
+	case json.Unmarshal(value, &s) == nil:
+		l.set(key, s)
+	default:
+		l.set(key, string(value))
+	}
+}
+
+// readPairs reads key=value text and returns what is before it.
+func (l *Line) readPairs(text string) (prefix string, ok bool) {
+	first := pairStart.FindStringSubmatchIndex(text)
+	if first == nil {
+		return "", false
+	}
+	for rest := text[first[2]:]; rest != ""; {
+		key, after, ok := strings.Cut(rest, "=")
+		if !ok {
+			break
+		}
+		value, left := cutValue(after)
+		l.set(strings.TrimSpace(key), value)
+		rest = strings.TrimLeft(left, " ")
+	}
+	return text[:first[2]], true
+}
+
+// cutValue takes a value, quoted or not, from the front of text.
+func cutValue(text string) (value, rest string) {
+	if quoted, err := strconv.QuotedPrefix(text); err == nil {
+		if value, err = strconv.Unquote(quoted); err == nil {
+			return value, text[len(quoted):]
+		}
+	}
+	value, rest, _ = strings.Cut(text, " ")
+	return value, rest
+}
+
+func (l *Line) set(key, value string) {
+	switch key {
+	case fieldTime:
+		l.At, _ = time.Parse(time.RFC3339Nano, value)
+	case fieldLevel:
+		l.Level = value
+	case fieldMessage:
+		l.Message = value
+	case fieldUp:
+		l.readUp(value)
+	case fieldProcess:
+		l.Process = value
+	case fieldIncarnation:
+		l.Incarnation = value
+	case "event":
+		l.Event = value
+	default:
+		if _, known := l.Fields[key]; !known {
+			l.Keys = append(l.Keys, key)
+		}
+		l.Fields[key] = value
+	}
+}
+
+func (l *Line) readUp(value string) {
+	if up, err := strconv.ParseInt(value, 10, 64); err == nil {
+		l.Up = up
+	}
+}
+
+// readPrefix takes the time and the process from what is before the line
+// proper. Its time is the same clock for all processes, so it is preferred.
+func (l *Line) readPrefix(prefix string) {
+	if seconds := prefixSeconds.FindString(prefix); seconds != "" {
+		if s, err := strconv.ParseFloat(seconds, 64); err == nil {
+			l.At = time.UnixMicro(int64(math.Round(s * microsPerSecond))).UTC()
+		}
+	}
+	if l.Process == "" {
+		l.Process = prefixName.FindString(prefix)
+	}
+}
--- /dev/null
+++ b/internal/story/run.go
@@ -0,0 +1,155 @@
+package story
+
+import (
+	"skylarklane.example/lib/event"
+)
+
+// Job is one time that the request came in at an entry.
+type Job struct {
+	owner owner
+	// Received and Ended are nil where no line tells them.
+	Received *Line
+	Ended    *Line
+}
+
+// Entry is the process that had the job.
+func (j *Job) Entry() string { return j.owner.process }
+
+// jobEnds are the events that end a job at its entry.
+var jobEnds = []*event.Event{event.JobEnded, event.JobFailed, event.JobRefused, event.JobAbandoned}
+
+// jobsOf collects the times that the request came in.
+func jobsOf(s *Story) []*Job {
+	var jobs []*Job
+	open := map[owner]*Job{}
+	find := func(l *Line) *Job {
+		j := open[l.owner()]
+		if j == nil {
+			j = &Job{owner: l.owner()}
+			open[l.owner()] = j
+			jobs = append(jobs, j)
+		}
+		return j
+	}
+	for _, l := range s.Lines {
+		switch {
+		case !s.own[l]:
+		case l.is(event.JobReceived):
+			delete(open, l.owner())
+			find(l).Received = l
+		case l.is(jobEnds...):
+			find(l).Ended = l
+			delete(open, l.owner())
+		case l.is(event.JobPlaced):
+			find(l)
+		}
+	}
+	return jobs
+}
+
+// end returns the last end of the request, nil where none was logged.
+func (s *Story) end() *Line {
+	for i := len(s.Jobs) - 1; i >= 0; i-- {
+		if s.Jobs[i].Ended != nil {
+			return s.Jobs[i].Ended
+		}
+	}
+	return nil
+}
+
+// Run is one run of a task, as its entry and its agent tell it.
+type Run struct {
+	Task    string
+	Attempt string
+	Worker  string
+	Agent   string
+	entry   owner
+	// Lines that tell of it; nil where none does.
+	Placed  *Line
+	Started *Line
+	Stopped *Line
+	Ended   *Line
+	Retried *Line
+	Refused *Line
+}
+
+// Name returns the run's name, as explain takes it.
+func (r *Run) Name() string { return r.Task + "/" + r.Attempt }
+
+// how returns how the run ended, empty where nothing tells.
+func (r *Run) how() string {
+	if r.Ended != nil {
+		return r.Ended.Fields[fieldHow]
+	}
+	return ""
+}
+
+// reason returns why the run was retried, refused or stopped.
+func (r *Run) reason() string {
+	for _, l := range []*Line{r.Retried, r.Refused, r.Ended, r.Stopped} {
+		if l != nil && l.Fields[fieldReason] != "" {
+			return l.Fields[fieldReason]
+		}
+	}
+	return ""
+}
+
+// settled tells whether some line says what became of the run.
+func (r *Run) settled() bool { return r.Ended != nil || r.Refused != nil || r.Retried != nil }
+
+// runsOf collects the runs of the request. Entries that had the same job count
+// their attempts by themselves.
+func runsOf(s *Story) []*Run {
+	type key struct {
+		entry, task, attempt string
+	}
+	var runs []*Run
+	byKey := map[key]*Run{}
+	for _, l := range s.Lines {
+		task, attempt := l.Fields[fieldTask], l.Fields[fieldAttempt]
+		if !s.own[l] || task == "" || attempt == "" {
+			continue
+		}
+		k := key{entryOf(l), task, attempt}
+		r := byKey[k]
+		if r == nil {
+			r = &Run{Task: task, Attempt: attempt}
+			byKey[k] = r
+			runs = append(runs, r)
+		}
+		r.take(l)
+	}
+	return runs
+}
+
+// entryOf returns the entry whose run the line tells of.
+func entryOf(l *Line) string {
+	if entry := l.Fields[fieldEntry]; entry != "" {
+		return entry
+	}
+	return l.Process
+}
+
+func (r *Run) take(l *Line) {
+	if worker := l.Fields[fieldWorker]; worker != "" {
+		r.Worker = worker
+	}
+	if agent := l.Fields[fieldAgent]; agent != "" {
+		r.Agent = agent
+	}
+	switch {
+	case l.is(event.JobPlaced):
+		r.Placed = l
+		r.entry = l.owner()
+	case l.is(event.RunBegan, event.RunStarted):
+		r.Started = l
+	case l.is(event.RunStopped):
+		r.Stopped = l
+	case l.is(event.RunEnded, event.RunFinished):
+		r.Ended = l
+	case l.is(event.RunRetried):
+		r.Retried = l
+	case l.is(event.LaunchRefused):
+		r.Refused = l
+	}
+}
--- /dev/null
+++ b/internal/story/story_test.go
@@ -0,0 +1,153 @@
+package story
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// textOf returns a log: each line is "SECONDS PROCESS EVENT FIELDS".
+func textOf(lines ...string) string {
+	var b strings.Builder
+	for _, line := range lines {
+		parts := strings.SplitN(line, " ", 4)
+		fmt.Fprintf(&b, "%s %s time=2026-01-02T03:04:05Z level=INFO msg=\"entry: A sentence.\" event=%s %s\n", parts[0], parts[1], parts[2], parts[3])
+	}
+	return b.String()
+}
+
+func TestCause(t *testing.T) {
+	const (
+		received = "1.000 entry-1 jobReceived job=j"
+		placed   = "1.010 entry-1 jobPlaced job=j task=j.0.0.0 attempt=1 worker=w1 agent=a1"
+		again    = "2.010 entry-1 jobPlaced job=j task=j.0.0.0 attempt=2 worker=w2 agent=a2"
+		done     = "2.500 entry-1 runEnded job=j task=j.0.0.0 attempt=2 worker=w2 how=done"
+		complete = "2.501 entry-1 jobEnded job=j state=complete startedMillis=10 endedMillis=1500 answeredMillis=1501"
+		stopped  = "2.100 entry-1 jobAbandoned job=j reason=deadline waitedMillis=1100"
+	)
+	tests := []struct {
+		name  string
+		lines []string
+		cause string
+		says  string
+	}{
+		{"complete", []string{received, placed, "1.5 entry-1 runEnded job=j task=j.0.0.0 attempt=1 worker=w1 how=done", complete}, "complete", "first start after 10 ms"},
+		{"refused, agents lost", []string{"0.1 entry-1 agentLost agent=a1", "0.2 entry-1 agentLost agent=a2", "0.3 entry-1 agentRegained agent=a2", received, "1.1 entry-1 jobRefused job=j reason=queueFull workersWithRoom=0 workersKnown=1"}, "agentsLost", "had lost 1 agents"},
+		{"refused, workers ejected", []string{"0.1 entry-1 workerEjected worker=w1", received, "1.1 entry-1 jobRefused job=j reason=queueFull workersWithRoom=0"}, "allEjected", "ejected 1 workers"},
+		{"refused, no workers", []string{received, "1.1 entry-1 jobRefused job=j reason=noWorkers workersKnown=0"}, "noWorkers", "none had announced itself"},
+		{"refused, old word", []string{received, "1.1 entry-1 jobRefused job=j reason=queueFull ageMillis=900"}, "oldWord", "900 ms old"},
+		{"refused by agents", []string{received, placed, "1.02 entry-1 runRetried job=j task=j.0.0.0 attempt=1 reason=room", "1.1 entry-1 jobRefused job=j reason=late workersWithRoom=1"}, "launchesRefused", "refused 1 launches"},
+		{"refused, queue full", []string{received, "1.1 entry-1 jobRefused job=j reason=queueFull queue=500 workersWithRoom=0 workersKnown=11"}, "queueFull", "0 of 11 workers"},
+		{"refused, leaving", []string{received, "1.1 entry-1 jobRefused job=j reason=leaving"}, "entryLeaving", "entry-1 was shutting down"},
+		{"failed on one worker", []string{received, placed, "1.2 entry-1 runEnded job=j task=j.0.0.0 attempt=1 worker=w1 how=failed", "1.3 entry-1 jobPlaced job=j task=j.0.0.0 attempt=2 worker=w1", "1.4 entry-1 runEnded job=j task=j.0.0.0 attempt=2 worker=w1 how=failed", "1.5 entry-1 jobFailed job=j reason=attempts task=j.0.0.0"}, "oneWorker", "worker w1"},
+		{"failed on two workers", []string{received, placed, "1.2 entry-1 runEnded job=j task=j.0.0.0 attempt=1 worker=w1 how=failed", again, "2.4 entry-1 runEnded job=j task=j.0.0.0 attempt=2 worker=w2 how=failed", "2.5 entry-1 jobFailed job=j reason=attempts task=j.0.0.0 maxAttempts=2"}, "taskFails", "2 runs on w1, w2"},
+		{"failed, never fits", []string{received, "1.5 entry-1 jobFailed job=j reason=neverFits need=64000"}, "neverFits", "64000"},
+		{"late behind a silent worker", []string{received, placed, "1.5 a1 workerSilent worker=w1 silentMillis=400", again, done, complete}, "lostWorker", "w1 when a1 told"},
+		{"late behind a lost agent", []string{received, placed, "1.5 entry-1 agentLost agent=a1", again, done, complete}, "lostWorker", "1000 ms after"},
+		{"a loss after the end does not count", []string{received, placed, "1.1 entry-1 runEnded job=j task=j.0.0.0 attempt=1 worker=w1 how=done", "1.2 entry-1 agentLost agent=a1", complete}, "complete", ""},
+		{"given up, order unanswered", []string{received, placed, "1.5 a1 orderUnanswered job=j task=j.0.0.0 worker=w1 what=start tries=3", stopped}, "orderUnanswered", "(start)"},
+		{"given up in the queue", []string{received, stopped}, "neverPlaced", "deadline"},
+		{"given up while working", []string{received, placed, stopped}, "slowRun", "for 1090 ms"},
+		{"sent again", []string{received, placed, "1.5 entry-1 processFailed error=x", "2.400 entry-2 jobReceived job=j", "2.6 entry-2 jobEnded job=j"}, "cameAgain", "entry-1 was lost"},
+		{"entry restarted", []string{"1.000 entry-1 jobReceived job=j incarnation=1", "1.2 entry-1 processStarted incarnation=2"}, "entryLost", "incarnation 2"},
+		{"lines left out", []string{received, "1.2 entry-1 linesLeftOut sampledOut.jobEnded=4"}, "linesLeftOut", ""},
+		{"no end", []string{received}, "unknown", ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			log := NewLog("j")
+			is.NoErr(log.Read("log", strings.NewReader(textOf(test.lines...))))
+			s, err := Tell(log)
+			is.NoErr(err)
+			is.Equal(s.Cause.Name, test.cause)
+			if !strings.Contains(s.Cause.Sentence, test.says) {
+				t.Errorf("%q does not tell %q", s.Cause.Sentence, test.says)
+			}
+		})
+	}
+}
+
+func TestSelectsWhatBears(t *testing.T) {
+	is := is.New(t)
+	log := NewLog("j.0.0.0")
+	is.NoErr(log.Read("log", strings.NewReader(textOf(
+		"0.1 entry-1 configInForce version=7",
+		"0.2 a1 workerSilent worker=w1",
+		"0.3 a1 workerRegained worker=w1",
+		"1.0 entry-1 jobReceived job=j",
+		"1.0 entry-1 jobReceived job=other",
+		"1.1 entry-1 jobPlaced job=j task=j.0.0.0 attempt=1 worker=w1 agent=a1",
+		"1.1 entry-1 jobPlaced job=j task=j.0.0.1 attempt=1 worker=w3 agent=a3",
+		"1.2 a2 workerSilent worker=w2",
+		"1.3 control-1 leaderChanged leader=control-2",
+		"1.4 a1 runStarted task=j.0.0.0 attempt=1 entry=entry-1",
+		"9.0 a1 workerSilent worker=w1",
+	))))
+	s, err := Tell(log)
+	is.NoErr(err)
+	var events []string
+	for _, l := range s.Lines {
+		events = append(events, l.Event)
+	}
+	is.Equal(events, []string{"configInForce", "workerSilent", "workerRegained", "jobReceived", "jobPlaced", "leaderChanged", "runStarted"})
+	is.Equal(s.NotSeen, []string{
+		"no end of the job at entry-1",
+		"no end of run j.0.0.0/1 at worker w1",
+		"no end of run j.0.0.1/1 at worker w3",
+		"no line from agent a3",
+	})
+}
+
+func TestOrderByTimeSinceStart(t *testing.T) {
+	is := is.New(t)
+	log := NewLog("j")
+	is.NoErr(log.Read("log", strings.NewReader(strings.Join([]string{
+		`time=2026-01-01T00:00:01.000Z level=INFO msg=third event=jobEnded job=j process=e up=3000`,
+		`time=2026-01-01T00:00:00.000Z level=INFO msg=second event=jobPlaced job=j process=e up=2000`,
+		`time=2026-01-01T05:00:00.000Z level=INFO msg=first event=jobReceived job=j process=e up=1000`,
+	}, "\n"))))
+	s, err := Tell(log)
+	is.NoErr(err)
+	is.Equal([]string{s.Lines[0].Message, s.Lines[1].Message, s.Lines[2].Message}, []string{"first", "second", "third"})
+}
+
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name, text    string
+		process, job  string
+		event, reason string
+		none          bool
+	}{
+		{"JSON", `{"time":"2026-01-01T00:00:00Z","msg":"entry: x.","process":"e1","event":"jobRefused","job":"j","reason":"late"}`, "e1", "j", "jobRefused", "late", false},
+		{"text", `time=2026-01-01T00:00:00Z msg="entry: x = \"y\"." process=e1 event=jobRefused job=j reason=late`, "e1", "j", "jobRefused", "late", false},
+		{"prefixed JSON", `[  12.345] front-a/entry | {"msg":"entry: x.","event":"jobRefused","task":"j.0.1.2","reason":"late"}`, "front-a", "j", "jobRefused", "late", false},
+		{"prefixed text", `12.345s front-a time=2026-01-01T00:00:00Z msg=x event=jobRefused job=j reason=late`, "front-a", "j", "jobRefused", "late", false},
+		{"nested", `{"msg":"x","process":"e1","job":"j","event":"a","free":{"cpu":3},"reason":"late"}`, "e1", "j", "a", "late", false},
+		{"other text", `panic: a=b`, "", "", "", "", true},
+		{"cut off", `{"msg":"x","job":"j`, "", "", "", "", true},
+		{"empty", ``, "", "", "", "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			l := parse(test.text)
+			is.Equal(l == nil, test.none)
+			if l == nil {
+				return
+			}
+			is.Equal(l.Process, test.process)
+			is.Equal(l.Job(), test.job)
+			is.Equal(l.Event, test.event)
+			is.Equal(l.Fields[fieldReason], test.reason)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`12.3 a {"msg":"x","a":{"b":1}}`)
+	f.Add(`time=x msg="y z" a=b`)
+	f.Fuzz(func(_ *testing.T, text string) { parse(text) })
+}
