--- a/agent/main.go
+++ b/agent/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(agent.Main(os.Args[1:], os.Stderr))
+	os.Exit(agent.Main(os.Args[1:], os.Stdout))
 }
--- a/control/main.go
+++ b/control/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(control.Main(os.Args[1:], os.Stderr))
+	os.Exit(control.Main(os.Args[1:], os.Stdout))
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(entry.Main(os.Args[1:], os.Stderr))
+	os.Exit(entry.Main(os.Args[1:], os.Stdout))
 }
--- a/load/internal/fleet/process.go
+++ b/load/internal/fleet/process.go
@@ -51,10 +51,11 @@
 		ready:   make(chan readyLine, 1),
 		exited:  make(chan struct{}),
 	}
-	output, err := p.command.StderrPipe()
+	output, err := p.command.StdoutPipe()
 	if err != nil {
 		return nil, &Error{Op: "start " + name, Kind: KindProgram, Err: err}
 	}
+	p.command.Stderr = p.command.Stdout
 	if err := p.command.Start(); err != nil {
 		return nil, &Error{Op: "start " + name, Kind: KindProgram, Err: eris.Wrap(err, "run make build first")}
 	}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -73,10 +73,11 @@
 		ready:   make(chan map[string]any, 1),
 		exited:  make(chan struct{}),
 	}
-	output, err := d.command.StderrPipe()
+	output, err := d.command.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.command.Stderr = d.command.Stdout
 	if err := d.command.Start(); err != nil {
 		t.Fatal(err)
 	}
