--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -128,6 +128,7 @@
 func (k *Keeper) keep(l *life) {
 	l.ctx, l.cancel = context.WithCancel(k.ctx)
 	l.repliedAt = k.steady()
+	l.heldAt = l.repliedAt
 	k.spawn((&poller{k, l}).loop)
 	k.spawn((&pulser{k, l}).loop)
 	for _, s := range l.strays {
--- a/lib/lease/announcement.go
+++ b/lib/lease/announcement.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"github.com/rotisserie/eris"
+
+	"skylarklane.example/lib/capacity"
 )
 
 // LifeName names one life of a worker: its id and its start.
@@ -25,7 +27,7 @@
 		reason = "no start of its life"
 	case a.ClockMillis < 0:
 		reason = "clock below zero"
-	case !a.capacity().valid() || a.CPUMillis == 0:
+	case !isAmount(a.capacity()) || a.CPUMillis == 0:
 		reason = "no capacity"
 	}
 	if reason == "" {
@@ -34,6 +36,20 @@
 	return &Error{Op: "announce", Kind: KindAnnouncement, Err: eris.New(reason)}
 }
 
-func (a Announcement) capacity() resources {
-	return resources{a.CPUMillis, a.MemoryMB, a.Accelerators}
+func (a Announcement) capacity() capacity.Vector {
+	return capacity.Vector{CPUMillis: a.CPUMillis, MemoryMB: a.MemoryMB, Accelerators: a.Accelerators}
+}
+
+// isAmount tells whether no part of v is below zero.
+func isAmount(v capacity.Vector) bool {
+	return min(v.CPUMillis, v.MemoryMB, v.Accelerators) >= 0
+}
+
+// notBelowZero is v without what is overdrawn.
+func notBelowZero(v capacity.Vector) capacity.Vector {
+	return capacity.Vector{
+		CPUMillis:    max(v.CPUMillis, 0),
+		MemoryMB:     max(v.MemoryMB, 0),
+		Accelerators: max(v.Accelerators, 0),
+	}
 }
--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/wire"
 )
 
@@ -20,16 +21,16 @@
 	Grace time.Duration
 	// Patience is how long a silent worker's lease is still extended.
 	Patience time.Duration
-	// Clock measures sessions. Boottime by default.
-	Clock Clock
+	// Clock measures sessions, clock.Boot by default.
+	Clock clock.Clock
 }
 
 // The defaults of Config.
 const (
-	DefaultSession  = 800 * time.Millisecond
-	DefaultLease    = 900 * time.Millisecond
-	DefaultLeaseMax = time.Second
-	DefaultGrace    = 300 * time.Millisecond
+	DefaultSession  = wire.SessionLength
+	DefaultLease    = 600 * time.Millisecond
+	DefaultLeaseMax = wire.LeaseAhead
+	DefaultGrace    = 400 * time.Millisecond
 	DefaultPatience = 400 * time.Millisecond
 )
 
@@ -39,7 +40,7 @@
 	// stopInterval is the time between two tries of a stop.
 	stopInterval = 100 * time.Millisecond
 	// holdWait is how long a hold waits at the worker for an end.
-	holdWait = 250 * time.Millisecond
+	holdWait = 150 * time.Millisecond
 	// holdSlack is how much longer than its wait a hold may take.
 	holdSlack = 150 * time.Millisecond
 	// holdPause is the first pause after a hold that fails; they double up to
@@ -51,8 +52,11 @@
 	clearWait = 20 * time.Millisecond
 	// pulseInterval is how often the age of the last report is looked at.
 	pulseInterval = 50 * time.Millisecond
-	// pulseAge is the age of the last report at which another hold is sent.
-	pulseAge = 300 * time.Millisecond
+	// pulseAge is the age of the last acknowledged hold at which another one is
+	// sent beside the long poll.
+	pulseAge = 350 * time.Millisecond
+	// pulseTimeout is the time for a hold that does not wait.
+	pulseTimeout = 100 * time.Millisecond
 	// tickInterval is how often sessions and silent workers are looked at.
 	tickInterval = 20 * time.Millisecond
 	// forgetTicks is how many ticks are between two looks at what is too old.
@@ -87,7 +91,7 @@
 	c.Grace = either(c.Grace, DefaultGrace)
 	c.Patience = either(c.Patience, DefaultPatience)
 	if c.Clock == nil {
-		c.Clock = Boottime()
+		c.Clock = clock.Boot()
 	}
 	return c
 }
--- a/lib/lease/fence.go
+++ b/lib/lease/fence.go
@@ -13,6 +13,10 @@
 	return fence{number: uint64(now.UnixMilli()), step: fenceStep}
 }
 
+// pass makes the fence higher than that of an order without an answer, which the
+// worker refuses once it has seen a later order.
+func (f *fence) pass() { f.number++ }
+
 // raise makes the fence higher than one that a worker has refused. The steps
 // grow, as clocks may have jumped back by any time since the last start.
 func (f *fence) raise(refused uint64) bool {
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -17,10 +17,12 @@
 	if !wire.Same(q.GetAgent(), k.cfg.Agent) {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "another incarnation of the agent")
 	}
-	if s := k.session(q.GetEntry()); s != nil {
-		for _, id := range q.GetRuns() {
-			k.haltOne(s, keyOf(id))
-		}
+	s, err := k.enter(q.GetEntry())
+	if err != nil {
+		return nil, err
+	}
+	for _, id := range q.GetRuns() {
+		k.haltOne(s, keyOf(id))
 	}
 	k.changed()
 	return &wire.HaltReply{ClockMillis: k.nowMillis()}, nil
@@ -51,7 +53,8 @@
 		return
 	}
 	rec.seenAt = 0
-	s.addEnd(key, wire.RunHow_RUN_HOW_NOT_STARTED, rec.reason, 0)
+	k.lastEnd++
+	s.addEnd(k.lastEnd, key, wire.RunHow_RUN_HOW_NOT_STARTED, rec.reason, 0)
 	k.log.Info("run barred", "task", key.task, "attempt", key.attempt, "entry", s.entry.GetId(), "reason", rec.reason)
 }
 
@@ -93,7 +96,8 @@
 	if r.number > 0 {
 		l.noteNumber(task, r.number, now)
 	}
-	r.session.addEnd(r.key, how, reason, ran)
+	k.lastEnd++
+	r.session.addEnd(k.lastEnd, r.key, how, reason, ran)
 	k.metrics.count("ends", orDone(reason))
 	k.log.Info("run ended", r.attrs(), "how", how, "reason", reason, "ranMillis", ran.Milliseconds())
 	if l.waiting[task] == r {
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -58,7 +58,7 @@
 func (k *Keeper) isPulseDue(l *life) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	age := k.steady() - l.repliedAt
+	age := k.steady() - l.heldAt
 	return age > pulseAge && age < pulseAge+k.cfg.Lease
 }
 
@@ -69,13 +69,20 @@
 		return false
 	}
 	sent := k.steady()
-	limit := time.Duration(q.WaitMillis)*time.Millisecond + holdSlack
-	ctx, cancel := context.WithTimeout(l.ctx, limit)
+	ctx, cancel := context.WithTimeout(l.ctx, holdLimit(q))
 	defer cancel()
 	report, err := w.Hold(ctx, q)
 	return k.finishHold(l, q, seq, sent, report, err)
 }
 
+// holdLimit is the time for a hold.
+func holdLimit(q Hold) time.Duration {
+	if q.WaitMillis == 0 {
+		return pulseTimeout
+	}
+	return time.Duration(q.WaitMillis)*time.Millisecond + holdSlack
+}
+
 func (k *Keeper) beginHold(l *life, wait time.Duration) (Hold, uint64, Worker, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -105,6 +112,7 @@
 	defer k.changed()
 	k.expire()
 	if err != nil {
+		k.fence.pass()
 		k.metrics.count("holds", "unanswered")
 		return false
 	}
@@ -125,6 +133,7 @@
 		k.log.Info("worker answers again", "worker", l.name, "ageMillis", (now - l.repliedAt).Milliseconds())
 	}
 	l.repliedAt = now
+	l.heldAt = max(l.heldAt, sent)
 	k.takeEnds(l, report.Ended)
 	if seq > l.taken {
 		l.taken = seq
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -37,6 +37,8 @@
 	// doubted is the newest announcement that was ignored for its start.
 	doubted *Announcement
 	ticks   uint64
+	// lastEnd numbers the ends that are told, of all sessions.
+	lastEnd uint64
 	board   board
 }
 
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"skylarklane.example/lib/capacity"
 	"skylarklane.example/lib/wire"
 )
 
@@ -83,7 +84,7 @@
 		key:        key,
 		session:    s,
 		life:       k.life,
-		need:       resourcesOf(t.GetNeed()),
+		need:       capacity.Of(t.GetNeed()),
 		spec:       string(q.GetSpec()),
 		acceptedAt: k.steady(),
 	})
@@ -112,14 +113,14 @@
 // none.
 func (k *Keeper) refusingOne(s *session, t *wire.LaunchTask) string {
 	key := keyOf(t.GetRun())
-	need := resourcesOf(t.GetNeed())
+	need := capacity.Of(t.GetNeed())
 	l := k.life
 	switch {
-	case key.task == "" || key.attempt == 0 || !need.valid():
+	case key.task == "" || key.attempt == 0 || !isAmount(need):
 		return "invalid"
 	case newer(l.active[key.task], s, key) || newer(l.waiting[key.task], s, key):
 		return "old"
-	case !l.free().holds(need):
+	case !need.Fits(l.free()):
 		return "noRoom"
 	}
 	return ""
@@ -135,7 +136,7 @@
 func (k *Keeper) accept(r *run) {
 	l := r.life
 	task := r.key.task
-	k.log.Info("launch accepted", r.attrs(), "free", l.free().minus(r.need).cpu, "runs", k.left()+1)
+	k.log.Info("launch accepted", r.attrs(), "free", l.free().Minus(r.need).CPUMillis, "runs", k.left()+1)
 	former := l.active[task]
 	if former == nil {
 		l.active[task] = r
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"skylarklane.example/lib/capacity"
 )
 
 // life is one life of the worker, from its first announcement until it is
@@ -21,6 +23,8 @@
 	clockAt     time.Duration
 	// repliedAt is when the newest answer to a hold came.
 	repliedAt time.Duration
+	// heldAt is when the newest hold that was acknowledged was sent.
+	heldAt time.Duration
 	// leaseUntil is when its lease has surely lapsed.
 	leaseUntil time.Duration
 	// sent and taken number the holds.
@@ -73,18 +77,18 @@
 }
 
 // used is what accepted runs take, those that are being stopped included.
-func (l *life) used() resources {
-	var sum resources
+func (l *life) used() capacity.Vector {
+	var sum capacity.Vector
 	for _, r := range l.active {
-		sum = sum.plus(r.need)
+		sum = sum.Plus(r.need)
 	}
 	for _, r := range l.waiting {
-		sum = sum.plus(r.need)
+		sum = sum.Plus(r.need)
 	}
 	return sum
 }
 
-func (l *life) free() resources { return l.said.capacity().minus(l.used()) }
+func (l *life) free() capacity.Vector { return l.said.capacity().Minus(l.used()) }
 
 // isUnsettled tells whether the worker has left starts of a run unanswered, and
 // its stop so far.
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"skylarklane.example/lib/capacity"
 	"skylarklane.example/lib/wire"
 )
 
@@ -40,7 +41,7 @@
 	key     runKey
 	session *session
 	life    *life
-	need    resources
+	need    capacity.Vector
 	spec    string
 	// number of the run at the worker.
 	number uint32
--- a/lib/lease/session.go
+++ b/lib/lease/session.go
@@ -15,7 +15,6 @@
 	until   time.Duration
 	records map[runKey]*record
 	ends    []*wire.RunEnd
-	lastEnd uint64
 	// wake is closed, and made anew, with each end.
 	wake chan struct{}
 	// former numbers of incarnations of the same entry.
@@ -32,27 +31,25 @@
 	end uint64
 }
 
-func newSession(entry *wire.Incarnation, seen uint64) *session {
+func newSession(entry *wire.Incarnation) *session {
 	return &session{
 		entry:   entry,
 		records: map[runKey]*record{},
-		lastEnd: seen,
 		wake:    make(chan struct{}),
 	}
 }
 
 // addEnd keeps an end until the entry has seen it.
-func (s *session) addEnd(key runKey, how wire.RunHow, reason string, ran time.Duration) {
-	s.lastEnd++
+func (s *session) addEnd(number uint64, key runKey, how wire.RunHow, reason string, ran time.Duration) {
 	s.ends = append(s.ends, &wire.RunEnd{
-		Number:    s.lastEnd,
+		Number:    number,
 		Run:       key.wire(),
 		How:       how,
 		Reason:    reason,
 		RunMillis: ran.Milliseconds(),
 	})
 	if rec := s.records[key]; rec != nil {
-		rec.end = s.lastEnd
+		rec.end = number
 	}
 	close(s.wake)
 	s.wake = make(chan struct{})
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -137,7 +137,7 @@
 	case a.Refusal == RefusedLate && !r.unanswered:
 		return true
 	}
-	k.log.Info("start refused", r.attrs(), "reason", string(a.Refusal), "free", l.free().cpu)
+	k.log.Info("start refused", r.attrs(), "reason", string(a.Refusal), "free", l.free().CPUMillis)
 	k.drop(r, string(a.Refusal))
 	return false
 }
@@ -145,6 +145,7 @@
 // noAnswer has a start sent once more, and then settled by a stop.
 func (k *Keeper) noAnswer(r *run, err error, tries int) bool {
 	r.unanswered = true
+	k.fence.pass()
 	r.life.ask()
 	k.log.Info("start not answered", r.attrs(), "tries", tries, "err", err)
 	if r.phase != starting {
@@ -223,13 +224,13 @@
 // its session allows.
 func (k *Keeper) extend(l *life) int64 {
 	now := k.steady()
-	if k.silent(l) || l.refused {
+	if k.silent(l) || l.refused || !l.cleared {
 		return 0
 	}
 	ahead := k.cfg.Lease
 	clock := k.cfg.Clock.Now()
 	for _, r := range l.active {
-		if r.phase == starting || r.phase == running || r.phase == stopping {
+		if r.phase <= stopping {
 			ahead = min(ahead, r.bound(k.cfg.Grace)-clock)
 		}
 	}
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -68,8 +68,8 @@
 	}
 	w.Id = l.name
 	w.Service = l.said.Service
-	w.Capacity = l.said.capacity().wire()
-	w.Free = l.free().wire()
+	w.Capacity = l.said.capacity().Wire()
+	w.Free = notBelowZero(l.free()).Wire()
 	w.Labels = l.said.Labels
 	w.Cleared = l.cleared
 	return w
--- a/lib/lease/stop.go
+++ b/lib/lease/stop.go
@@ -68,6 +68,7 @@
 // stopped tells whether the answer to a stop acknowledges it.
 func (k *Keeper) stopped(l *life, q Stop, a Answer, err error) bool {
 	if err != nil {
+		k.fence.pass()
 		k.metrics.count("retries", "stopUnanswered")
 		k.log.Info("stop not answered", "task", q.Task, "number", q.Run, "worker", l.name, "err", err)
 		return false
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -43,18 +43,20 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
-	now := k.cfg.Clock.Now()
-	s, err := k.enter(q)
+	s, err := k.enter(q.GetEntry())
 	if err != nil {
 		return nil, err
 	}
+	now := k.cfg.Clock.Now()
 	known := wire.Same(q.GetAgent(), k.cfg.Agent)
-	from := now
-	if known && q.GetClockMillis() > 0 {
-		from = min(now, time.Duration(q.GetClockMillis())*time.Millisecond)
+	until := now + k.cfg.Session
+	if known && q.GetRenewUntilMillis() != 0 {
+		until = min(until, time.Duration(q.GetRenewUntilMillis())*time.Millisecond)
+	} else if s.alive {
+		until = s.until
 	}
-	if until := from + k.cfg.Session; until > max(now, s.until) {
-		s.until = until
+	if until > now {
+		s.until = max(s.until, until)
 	}
 	if !s.alive && s.until > now {
 		s.alive = true
@@ -68,17 +70,12 @@
 
 // enter returns the session of the entry's incarnation. A new incarnation ends
 // the session of the one before.
-func (k *Keeper) enter(q *wire.WatchRequest) (*session, error) {
-	entry := q.GetEntry()
+func (k *Keeper) enter(entry *wire.Incarnation) (*session, error) {
 	s := k.sessions[entry.GetId()]
 	if s != nil && wire.Same(s.entry, entry) {
 		return s, nil
 	}
-	seen := uint64(0)
-	if wire.Same(q.GetAgent(), k.cfg.Agent) {
-		seen = q.GetEndsSeen()
-	}
-	next := newSession(entry, seen)
+	next := newSession(entry)
 	if s != nil {
 		if slices.Contains(s.former, entry.GetNumber()) {
 			return nil, twirp.NewError(twirp.FailedPrecondition, "an incarnation that was replaced")
