--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -65,13 +65,7 @@
 }
 
 // giveUp ends a job that will not be worth anything.
-func (d *Desk) giveUp(w *work, reason string) {
-	if w.untouched() {
-		d.finish(w, Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter})
-		return
-	}
-	d.finish(w, Outcome{State: Failed, Reason: reason})
-}
+func (d *Desk) giveUp(w *work, reason string) { d.finish(w, d.stopped(w, reason)) }
 
 // untouched tells whether no task of the job has run or may still start.
 func (w *work) untouched() bool { return !w.ran && w.live == 0 }
--- a/lib/job/job.go
+++ b/lib/job/job.go
@@ -50,8 +50,8 @@
 	Failed
 	// NotRun means that no task was or will be started.
 	NotRun
-	// Abandoned means that the caller left or the deadline passed; what ran
-	// is being stopped.
+	// Abandoned means that the caller left, the deadline passed or the job was
+	// given up as too late; what ran is being stopped.
 	Abandoned
 )
 
