--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,7 +1,7 @@
 # Targets of the project; `make help` lists them.
 
 modules := skylarklane.example/skylarklane skylarklane.example/agent skylarklane.example/control \
-	skylarklane.example/entry skylarklane.example/lib skylarklane.example/load skylarklane.example/test
+	skylarklane.example/entry skylarklane.example/lib skylarklane.example/load skylarklane.example/platform skylarklane.example/test
 packages := $(addsuffix /...,$(modules))
 results := docs/results
 staticcheck := go run honnef.co/go/tools/cmd/staticcheck@v0.8.2
