--- a/lib/job/job.go
+++ b/lib/job/job.go
@@ -50,8 +50,8 @@
 	Failed
 	// NotRun means that no task was or will be started.
 	NotRun
-	// Abandoned means that the caller left or the deadline passed; what ran
-	// is being stopped.
+	// Abandoned means that the caller left, the deadline passed or the job was
+	// given up as too late; what ran is being stopped.
 	Abandoned
 )
 
@@ -63,3 +63,18 @@
 	// RetryAfter is when to come back where the job was not run.
 	RetryAfter time.Duration
 }
+
+// String returns the camelCase name of the state.
+func (s State) String() string {
+	switch s {
+	case Complete:
+		return "complete"
+	case Failed:
+		return "failed"
+	case NotRun:
+		return "notRun"
+	case Abandoned:
+		return "abandoned"
+	}
+	return "unknown"
+}
