Desk: jobs that have started go first, refusals early

Change: jobs that have started go first within a priority; a job held for a fifth of its objective stays only if it is likely to make it; wide steps count in waves; lines on placement are written once the agent has accepted. Run: go test -race ./lib/job passes.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -63,6 +63,7 @@
 	w := newWork(j, d.kindOf(j), now, d.attempts[j.ID].attempt)
 	d.sequence++
 	w.sequence = d.sequence
+	w.count(d.capacityOf(j.Service))
 	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * d.bestFactor(j.Service, now))
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
@@ -86,16 +87,16 @@
 		d.giveUp(w, reasonQueueFull)
 		return
 	}
-	ahead := 0.0
+	b := d.backlog(w.Service, now)
 	for _, other := range d.queue {
 		if other == w {
 			break
 		}
 		if other.Service == w.Service {
-			ahead += other.size()
+			b.Ahead += other.size()
 		}
 	}
-	if d.hopeless(w, ahead, now) {
+	if w.hopeless(b, now) {
 		d.giveUp(w, reasonHopeless)
 	}
 }
--- a/lib/job/fake_test.go
+++ b/lib/job/fake_test.go
@@ -50,10 +50,11 @@
 type fakeRun struct {
 	need  capacity.Vector
 	entry string
+	began time.Duration
 	timer *time.Timer
 }
 
-// fakeAgent is an agent with one worker and one entry.
+// fakeAgent is an agent with one worker. All entries share a session.
 type fakeAgent struct {
 	id     string
 	labels []string
@@ -69,7 +70,7 @@
 	version      uint64
 	sessionUntil time.Duration
 	runs         map[runKey]*fakeRun
-	ends         []*wire.RunEnd
+	ends         map[string][]*wire.RunEnd // by entry
 	numbered     uint64
 	block        []string
 	changed      chan struct{}
@@ -81,7 +82,7 @@
 func newFake(id string, millis int64, behave func(string, uint32) (time.Duration, wire.RunHow)) *fakeAgent {
 	v := capacity.Vector{CPUMillis: millis, MemoryMB: 1000}
 	return &fakeAgent{id: id, born: time.Now(), behave: behave, number: 1, whole: v, free: v, accepting: true, cleared: true,
-		version: 1, runs: map[runKey]*fakeRun{}, changed: make(chan struct{})}
+		version: 1, ends: map[string][]*wire.RunEnd{}, runs: map[runKey]*fakeRun{}, changed: make(chan struct{})}
 }
 
 // takes returns a behaviour: every run is done after d.
@@ -127,7 +128,7 @@
 func (a *fakeAgent) restart() {
 	a.set(func() {
 		a.number++
-		a.cleared, a.accepting, a.sessionUntil, a.ends, a.version = false, false, 0, nil, 0
+		a.cleared, a.accepting, a.sessionUntil, a.ends, a.version = false, false, 0, map[string][]*wire.RunEnd{}, 0
 		a.runs = map[runKey]*fakeRun{}
 		a.free = a.whole
 	})
@@ -143,10 +144,11 @@
 	} else if q.GetRenewUntilMillis() > 0 {
 		a.sessionUntil = max(a.sessionUntil, min(now+wire.SessionLength, time.Duration(q.GetRenewUntilMillis())*time.Millisecond))
 	}
-	a.ends = slices.DeleteFunc(a.ends, func(e *wire.RunEnd) bool {
+	entry := q.GetEntry().GetId()
+	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool {
 		return e.GetNumber() <= q.GetEndsSeen() && q.GetAgent().GetNumber() == a.number
 	})
-	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.ends) == 0
+	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.ends[entry]) == 0
 	a.mu.Unlock()
 	if none {
 		select {
@@ -158,7 +160,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.now().Milliseconds(),
-		SessionUntilMillis: a.sessionUntil.Milliseconds(), Worker: a.state(), Ends: slices.Clone(a.ends)}, nil
+		SessionUntilMillis: a.sessionUntil.Milliseconds(), Worker: a.state(), Ends: slices.Clone(a.ends[entry])}, nil
 }
 
 // lapse stops all runs once the session is over.
@@ -207,7 +209,7 @@
 	after, how := a.behave(key.task, key.attempt)
 	a.free = a.free.Minus(need)
 	a.launched = append(a.launched, key)
-	a.runs[key] = &fakeRun{need: need, entry: q.GetEntry().GetId(), timer: time.AfterFunc(after, func() {
+	a.runs[key] = &fakeRun{need: need, entry: q.GetEntry().GetId(), began: a.now(), timer: time.AfterFunc(after, func() {
 		a.set(func() { a.lapse(a.now()); a.end(key, how) })
 	})}
 	return ""
@@ -222,12 +224,12 @@
 	r.timer.Stop()
 	delete(a.runs, key)
 	a.free = a.free.Plus(r.need)
-	a.list(key, how)
+	a.list(r.entry, key, how, a.now()-r.began)
 }
 
-func (a *fakeAgent) list(key runKey, how wire.RunHow) {
+func (a *fakeAgent) list(entry string, key runKey, how wire.RunHow, ran time.Duration) {
 	a.numbered++
-	a.ends = append(a.ends, &wire.RunEnd{Number: a.numbered, Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: 50})
+	a.ends[entry] = append(a.ends[entry], &wire.RunEnd{Number: a.numbered, Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: ran.Milliseconds()})
 }
 
 // Halt implements wire.Runner.
@@ -239,7 +241,7 @@
 			if a.runs[key] != nil {
 				a.end(key, wire.RunHow_RUN_HOW_STOPPED)
 			} else {
-				a.list(key, wire.RunHow_RUN_HOW_NOT_STARTED)
+				a.list(q.GetEntry().GetId(), key, wire.RunHow_RUN_HOW_NOT_STARTED, 0)
 			}
 		}
 	})
--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -74,4 +74,4 @@
 }
 
 // untouched tells whether no task of the job has run or may still start.
-func (w *work) untouched() bool { return !w.ran && w.live == 0 }
+func (w *work) untouched() bool { return w.ran == 0 && w.live == 0 }
--- a/lib/job/kind.go
+++ b/lib/job/kind.go
@@ -14,6 +14,10 @@
 // factorMemory is how long a learned speed lasts without new runs.
 const factorMemory = 30 * time.Second
 
+// overdueExtra is how much longer than twice its expected time a run takes
+// before it tells something of its worker.
+const overdueExtra = 50 * time.Millisecond
+
 // kind is what the desk has learned of a kind of request: its run times over
 // their estimates, at a worker of factor 1.
 type kind struct {
@@ -44,6 +48,21 @@
 	return shrunk(s.factor, kept)
 }
 
+// factor is the worker's speed, less where most of its runs are overdue.
+func (l *link) factor(now time.Duration) float64 {
+	overdue := 0
+	for _, r := range l.runs {
+		if now-r.sentAt > 2*r.expected+overdueExtra {
+			overdue++
+		}
+	}
+	factor := l.speed.value(now)
+	if overdue >= 2 && 2*overdue >= len(l.runs) {
+		factor *= 2
+	}
+	return factor
+}
+
 // learn takes a run into what is known of its kind and its worker.
 func (d *Desk) learn(r *run, ran, now time.Duration) {
 	estimate := r.task.step.estimate
--- a/lib/job/launch.go
+++ b/lib/job/launch.go
@@ -31,11 +31,15 @@
 	work   *work
 	runs   []*run
 	q      *wire.LaunchRequest
+	// inputs are what the choice was made by, for the log.
+	inputs []any
 }
 
 // newLaunch returns an empty order.
 func (d *Desk) newLaunch(w *work, l *link, now time.Duration) *launch {
-	return &launch{d: d, link: l, runner: l.runner, work: w, q: &wire.LaunchRequest{
+	inputs := []any{"job", w.ID, "agent", l.agent.GetId(), "worker", l.word.GetId(), "freeCpuMillis", l.free.CPUMillis, "factor", l.factor(now),
+		"version", l.word.GetVersion(), "wordAgeMillis", (now - l.wordAt).Milliseconds(), "waitedMillis", (now - w.receivedAt).Milliseconds()}
+	return &launch{d: d, link: l, runner: l.runner, work: w, inputs: inputs, q: &wire.LaunchRequest{
 		Entry:          d.self,
 		Agent:          l.agent,
 		NotAfterMillis: min(l.sessionMillis, l.agentMillis(now+launchLife)),
@@ -124,23 +128,28 @@
 	if wire.Same(o.q.GetAgent(), o.link.agent) {
 		o.link.takeWord(reply.GetWorker(), now)
 	}
+	taken := 0
 	for i, r := range o.runs {
 		result := reply.GetResults()[i]
 		switch {
 		case o.link.runs[r.key()] != r: // its end came first, or the agent is a new one
 		case result.GetAccepted():
+			taken++
 			d.started(r, now)
 		default:
 			d.refusedRun(r, result.GetReason(), now)
 		}
 	}
+	if taken > 0 {
+		d.log.Info("Tasks are placed.", append(o.inputs, "tasks", taken, "refused", len(o.runs)-taken)...)
+	}
 }
 
 // started notes that an agent has accepted a run.
 func (d *Desk) started(r *run, now time.Duration) {
 	d.unreserve(r)
 	w := r.work
-	w.ran = true
+	r.ranAtAll(true)
 	if w.startedAt == 0 {
 		w.startedAt = now
 		d.metrics.waited.RecordDuration(now - w.receivedAt)
--- a/lib/job/place.go
+++ b/lib/job/place.go
@@ -48,6 +48,7 @@
 // serve places what it can of one job, with one launch for each agent.
 func (p *pass) serve(w *work) {
 	f := p.field(w.Service)
+	w.choosy = false
 	var launches []*launch
 	w.pending = slices.DeleteFunc(w.pending, func(t *task) bool {
 		i, ok := p.choose(f, w, t)
@@ -58,7 +59,7 @@
 		return true
 	})
 	for _, o := range launches {
-		p.send(o)
+		p.d.calls.Go(o.run)
 	}
 }
 
@@ -77,16 +78,6 @@
 	return launches
 }
 
-// send starts the call of a launch.
-func (p *pass) send(o *launch) {
-	o.work.offered = true
-	l := o.link
-	p.d.log.Info("Tasks are placed.", "job", o.work.ID, "tasks", len(o.runs), "agent", l.agent.GetId(),
-		"worker", l.word.GetId(), "attempt", o.runs[0].attempt, "freeCpuMillis", l.free.CPUMillis, "factor", l.speed.value(p.now),
-		"version", l.word.GetVersion(), "wordAgeMillis", (p.now - l.wordAt).Milliseconds(), "waitedMillis", (p.now - o.work.receivedAt).Milliseconds())
-	p.d.calls.Go(o.run)
-}
-
 // choose returns the worker for one task.
 func (p *pass) choose(f *field, w *work, t *task) (int, bool) {
 	s := t.step
@@ -106,6 +97,7 @@
 	if verdict == placement.NoRoom && !limited {
 		f.full = append(f.full, fullFor{s.Label, s.need})
 	}
+	w.choosy = w.choosy || verdict == placement.NotYet
 	return i, verdict == placement.Chosen
 }
 
@@ -159,7 +151,7 @@
 	c := placement.Candidate{
 		Capacity: l.capacity,
 		Labels:   l.word.GetLabels(),
-		Factor:   l.speed.value(p.now),
+		Factor:   l.factor(p.now),
 		Near:     p.d.cfg.DataCentre == "" || l.member.GetDataCentre() == p.d.cfg.DataCentre,
 		Jitter:   rand.Float64(),
 	}
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -5,9 +5,14 @@
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/capacity"
 	"skylarklane.example/lib/placement"
 )
 
+// heldPart is the part of its objective that a job may wait for its first start
+// whatever its prospects are.
+const heldPart = 5
+
 // enqueue has the pending tasks of a job placed when there is room.
 func (d *Desk) enqueue(w *work) {
 	if w.answered || w.queued || len(w.pending) == 0 {
@@ -27,8 +32,8 @@
 	d.queue = slices.DeleteFunc(d.queue, func(one *work) bool { return one == w })
 }
 
-// sortQueue orders the queue: by priority, then jobs that can make their
-// objective before those that can't, then by the time left to start, then
+// sortQueue orders the queue: by priority, then jobs that have started, then
+// those that can make their objective, then by the time left to start, then
 // large ones first.
 func (d *Desk) sortQueue(now time.Duration) {
 	slices.SortFunc(d.queue, func(a, b *work) int { return compare(a, b, now) })
@@ -38,6 +43,12 @@
 	if c := cmp.Compare(a.Kind.GetPriority(), b.Kind.GetPriority()); c != 0 {
 		return c
 	}
+	if begun := a.ran > 0; begun != (b.ran > 0) {
+		if begun {
+			return -1
+		}
+		return 1
+	}
 	if late := a.late(now); late != b.late(now) {
 		if late {
 			return 1
@@ -68,28 +79,36 @@
 // refused early rather than held in vain.
 func (d *Desk) prune(now time.Duration) {
 	d.sortQueue(now)
-	ahead := map[string]float64{}
+	backlogs := map[string]placement.Backlog{}
 	for _, w := range slices.Clone(d.queue) {
-		if !w.queued {
-			continue
+		b, ok := backlogs[w.Service]
+		if !ok {
+			b = d.backlog(w.Service, now)
 		}
-		if w.live == 0 && d.hopeless(w, ahead[w.Service], now) {
+		if w.live == 0 && w.hopeless(b, now) {
 			d.giveUp(w, reasonHopeless)
-			continue
+		} else {
+			b.Ahead += w.size()
 		}
-		ahead[w.Service] += w.size()
+		backlogs[w.Service] = b
 	}
 }
 
 // hopeless tells whether a job with this work before it will hardly end while
-// it is worth something.
-func (d *Desk) hopeless(w *work, ahead float64, now time.Duration) bool {
+// it is worth something. Once it was held for a while, it must be likely to
+// make its objective.
+func (w *work) hopeless(b placement.Backlog, now time.Duration) bool {
 	last := w.lastAt()
-	if last == never {
+	if last == never || w.choosy {
 		return false
 	}
-	b := d.backlog(w.Service)
-	b.Ahead = ahead
+	held := w.startedAt == 0 && now-w.receivedAt > w.objective.Due/heldPart
+	if held {
+		last = min(last, w.dueAt())
+	}
+	if b.Capacity == 0 {
+		return held
+	}
 	return now+b.Wait()+w.remaining() > last
 }
 
@@ -97,10 +116,10 @@
 func (w *work) remaining() time.Duration { return w.kind.expected(w.chain()) }
 
 // backlog sums up the service's workers and the entry's own runs there.
-func (d *Desk) backlog(service string) placement.Backlog {
+func (d *Desk) backlog(service string, now time.Duration) placement.Backlog {
 	b := placement.Backlog{}
 	for _, l := range d.serving(service) {
-		if l.word.GetAccepting() {
+		if l.word.GetAccepting() && !l.silent(now) {
 			b.Capacity += l.capacity.CPUMillis
 		}
 		for _, r := range l.runs {
@@ -109,3 +128,12 @@
 	}
 	return b
 }
+
+// capacityOf is that of all workers of a service together.
+func (d *Desk) capacityOf(service string) capacity.Vector {
+	sum := capacity.Vector{}
+	for _, l := range d.serving(service) {
+		sum = sum.Plus(l.capacity)
+	}
+	return sum
+}
--- a/lib/job/run.go
+++ b/lib/job/run.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
@@ -32,7 +33,9 @@
 	// remote is set for a run away from the rack that its step prefers.
 	remote bool
 	trial  bool
-	halt   haltState
+	// ran is set once the run did something, or may have.
+	ran  bool
+	halt haltState
 }
 
 // haltState is how far the stopping of a run has come. Why is empty where it
@@ -85,6 +88,17 @@
 	return r
 }
 
+// ranAtAll notes whether a run did something, or may have.
+func (r *run) ranAtAll(ran bool) {
+	switch {
+	case ran && !r.ran:
+		r.work.ran++
+	case !ran && r.ran:
+		r.work.ran--
+	}
+	r.ran = ran
+}
+
 // settle takes a run as surely ended.
 func (d *Desk) settle(r *run) {
 	l := r.link
@@ -121,9 +135,7 @@
 	if r == nil {
 		return
 	}
-	if end.GetHow() != wire.RunHow_RUN_HOW_NOT_STARTED {
-		r.work.ran = true
-	}
+	r.ranAtAll(end.GetHow() != wire.RunHow_RUN_HOW_NOT_STARTED)
 	switch end.GetHow() {
 	case wire.RunHow_RUN_HOW_DONE:
 		d.taskDone(r, time.Duration(end.GetRunMillis())*time.Millisecond, now)
@@ -141,6 +153,9 @@
 // taskDone takes a task as done.
 func (d *Desk) taskDone(r *run, ran, now time.Duration) {
 	w := r.work
+	if ran <= 0 {
+		ran = now - r.sentAt
+	}
 	d.learn(r, ran, now)
 	r.link.conduct = r.link.conduct.WithDone()
 	w.endedAt = now
@@ -180,7 +195,11 @@
 		return
 	}
 	d.metrics.retry(cause)
-	d.log.Info("A task is to start again.", "job", w.ID, "task", r.task.name, "attempt", r.attempt, "cause", cause,
+	level := slog.LevelInfo
+	if cause == "refused" {
+		level = slog.LevelDebug
+	}
+	d.log.Log(d.ctx, level, "A task is to start again.", "job", w.ID, "task", r.task.name, "attempt", r.attempt, "cause", cause,
 		"reason", reason, "worker", r.worker, "failed", r.task.failed, "runMillis", (now - r.sentAt).Milliseconds())
 	w.pending = append(w.pending, r.task)
 	d.enqueue(w)
@@ -192,7 +211,7 @@
 	orphans := l.orphans
 	l.orphans = nil
 	for _, r := range orphans {
-		r.work.ran = true
+		r.ranAtAll(true)
 		d.again(r, reasonRestarted, "", now)
 	}
 }
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -123,7 +123,7 @@
 		runs = append(runs, r)
 	}
 	for _, r := range runs {
-		r.work.ran = true
+		r.ranAtAll(true)
 		d.again(r, reasonSilent, "", now)
 	}
 }
--- a/lib/job/work.go
+++ b/lib/job/work.go
@@ -39,10 +39,10 @@
 	queued    bool
 	// live counts runs that may still be there.
 	live int
-	// ran is set once a run surely or possibly did something.
-	ran bool
-	// offered is set once a launch was sent.
-	offered   bool
+	// ran counts the runs that did something, or may have.
+	ran int
+	// choosy is set while a slow worker has room, but a fast one is awaited.
+	choosy    bool
 	startedAt time.Duration
 	endedAt   time.Duration
 
@@ -59,6 +59,8 @@
 	index    int
 	need     capacity.Vector
 	estimate time.Duration
+	// waves is how many times over its tasks fill their part of the workers.
+	waves time.Duration
 	// left counts tasks that are not done, waitsFor steps before it that are not.
 	left     int
 	waitsFor int
@@ -175,6 +177,18 @@
 	}
 }
 
+// wavePart is the part of all workers that the tasks of a step are taken to get
+// at once.
+const wavePart = 0.25
+
+// count sets the waves of each step, given all workers together.
+func (w *work) count(all capacity.Vector) {
+	for _, s := range w.steps {
+		share := s.need.Times(int64(s.Count)).Share(all)
+		s.waves = min(time.Duration(s.Count), max(1, time.Duration(math.Ceil(share/wavePart))))
+	}
+}
+
 // chain returns the longest sum of estimates along steps that wait for each
 // other, of those that are not done.
 func (w *work) chain() time.Duration {
@@ -185,7 +199,7 @@
 			ends[i] = max(ends[i], ends[before])
 		}
 		if s.left > 0 {
-			ends[i] += s.estimate
+			ends[i] += s.waves * s.estimate
 		}
 		longest = max(longest, ends[i])
 	}
