--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -69,11 +69,7 @@
 	if w.startedAt == 0 {
 		d.noteDelay(w, d.clock.Now())
 	}
-	if w.untouched() {
-		d.finish(w, Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter})
-		return
-	}
-	d.finish(w, Outcome{State: Failed, Reason: reason})
+	d.finish(w, d.stopped(w, reason))
 }
 
 // untouched tells whether no task of the job has run or may still start.
