--- a/lib/job/desk_test.go
+++ b/lib/job/desk_test.go
@@ -54,7 +54,7 @@
 	tests := []struct {
 		name   string
 		job    Job
-		behave func(string, uint32) (time.Duration, wire.RunHow)
+		behave behaviour
 		state  State
 		reason string
 		starts int
@@ -89,7 +89,7 @@
 		// fault is done 20 ms after the job was handed in.
 		fault  func(a *fakeAgent)
 		before func(a *fakeAgent)
-		behave func(string, uint32) (time.Duration, wire.RunHow)
+		behave behaviour
 		// least and most bound the time that the job takes.
 		least, most time.Duration
 	}{
@@ -107,11 +107,8 @@
 			least: 1800 * time.Millisecond, most: 2500 * time.Millisecond,
 		},
 		{
-			name: "restarted agent",
-			fault: func(a *fakeAgent) {
-				a.restart()
-				time.AfterFunc(900*time.Millisecond, func() { a.set(func() { a.cleared = true }) })
-			},
+			name:  "restarted agent",
+			fault: func(a *fakeAgent) { a.restart(900 * time.Millisecond) },
 			least: 900 * time.Millisecond, most: 1200 * time.Millisecond,
 		},
 		{
@@ -119,7 +116,7 @@
 			fault: func(a *fakeAgent) {
 				a.set(func() {
 					for key := range a.runs {
-						a.end(key, wire.RunHow_RUN_HOW_LOST)
+						a.end(key, wire.RunHow_RUN_HOW_LOST, time.Now())
 					}
 					a.accepting = false
 				})
--- a/lib/job/fake_test.go
+++ b/lib/job/fake_test.go
@@ -21,24 +21,32 @@
 
 // network carries the calls of a desk to fake agents, 1 ms each way.
 type network struct {
-	mu     sync.Mutex
 	agents map[string]*fakeAgent
+	// fault returns how long a request is held up on its way, after which its
+	// caller doesn't wait any more, and whether the reply is lost.
+	fault func(agent string) (held time.Duration, lost bool)
 }
 
 // RoundTrip implements http.RoundTripper.
 func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
-	n.mu.Lock()
 	a := n.agents[r.URL.Host]
-	n.mu.Unlock()
 	time.Sleep(time.Millisecond)
+	held, lost := n.fault(r.URL.Host)
 	method := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 	if a.blocked("to " + method) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	if held > 0 {
+		time.Sleep(held)
+		r, lost = r.WithContext(context.Background()), true
+	}
 	w := httptest.NewRecorder()
 	wire.NewRunnerServer(a).ServeHTTP(w, r)
-	if a.blocked("from " + method) {
+	if held > 0 {
+		return nil, context.DeadlineExceeded
+	}
+	if lost || a.blocked("from "+method) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
@@ -46,47 +54,73 @@
 	return w.Result(), nil
 }
 
+// fakeKey names a run of an entry.
+type fakeKey struct {
+	entry string
+	runKey
+}
+
 // fakeRun is a run at a fake agent.
 type fakeRun struct {
 	need  capacity.Vector
-	entry string
-	began time.Duration
+	began time.Time
 	timer *time.Timer
 }
 
-// fakeAgent is an agent with one worker. All entries share a session.
+// span is the time of a run that has ended.
+type span struct {
+	task     string
+	from, to time.Time
+}
+
+// behaviour returns how a run ends, and when.
+type behaviour func(task string, attempt uint32) (time.Duration, wire.RunHow)
+
+// fakeAgent is an agent with one worker.
 type fakeAgent struct {
 	id     string
-	labels []string
 	born   time.Time
-	// behave returns how a run ends, and when.
-	behave func(task string, attempt uint32) (time.Duration, wire.RunHow)
-
-	mu           sync.Mutex
-	number       uint64
-	whole, free  capacity.Vector
-	accepting    bool
-	cleared      bool
-	version      uint64
-	sessionUntil time.Duration
-	runs         map[runKey]*fakeRun
-	ends         map[string][]*wire.RunEnd // by entry
-	numbered     uint64
-	block        []string
-	changed      chan struct{}
-	// launched lists the accepted runs; most is the most at one time.
+	behave behaviour
+
+	mu          sync.Mutex
+	number      uint64
+	whole, free capacity.Vector
+	accepting   bool
+	cleared     bool
+	version     uint64
+	sessions    map[string]time.Time
+	runs        map[fakeKey]*fakeRun
+	barred      map[fakeKey]bool
+	ends        map[string][]*wire.RunEnd
+	numbered    uint64
+	block       []string
+	changed     chan struct{}
+	// orphans are runs of earlier incarnations.
+	orphans map[fakeKey]*fakeRun
+	// launched lists the accepted runs, spans those that have ended.
 	launched []runKey
-	halts    int
+	spans    []span
 }
 
-func newFake(id string, millis int64, behave func(string, uint32) (time.Duration, wire.RunHow)) *fakeAgent {
+func newFake(id string, millis int64, behave behaviour) *fakeAgent {
 	v := capacity.Vector{CPUMillis: millis, MemoryMB: 1000}
-	return &fakeAgent{id: id, born: time.Now(), behave: behave, number: 1, whole: v, free: v, accepting: true, cleared: true,
-		version: 1, ends: map[string][]*wire.RunEnd{}, runs: map[runKey]*fakeRun{}, changed: make(chan struct{})}
+	a := &fakeAgent{id: id, born: time.Now(), behave: behave, number: 1, whole: v, accepting: true, cleared: true,
+		changed: make(chan struct{}), orphans: map[fakeKey]*fakeRun{}}
+	a.clean()
+	return a
+}
+
+// clean makes the state of a new incarnation.
+func (a *fakeAgent) clean() {
+	a.free, a.version, a.numbered = a.whole, 1, 0
+	a.sessions = map[string]time.Time{}
+	a.runs = map[fakeKey]*fakeRun{}
+	a.barred = map[fakeKey]bool{}
+	a.ends = map[string][]*wire.RunEnd{}
 }
 
 // takes returns a behaviour: every run is done after d.
-func takes(d time.Duration) func(string, uint32) (time.Duration, wire.RunHow) {
+func takes(d time.Duration) behaviour {
 	return func(string, uint32) (time.Duration, wire.RunHow) { return d, wire.RunHow_RUN_HOW_DONE }
 }
 
@@ -94,7 +128,7 @@
 	return 10 * time.Millisecond, wire.RunHow_RUN_HOW_FAILED
 }
 
-func (a *fakeAgent) now() time.Duration { return time.Since(a.born) }
+func (a *fakeAgent) millis(t time.Time) int64 { return t.Sub(a.born).Milliseconds() }
 
 func (a *fakeAgent) blocked(what string) bool {
 	a.mu.Lock()
@@ -102,52 +136,57 @@
 	return slices.Contains(a.block, what)
 }
 
+// cut blocks calls of these kinds and directions, such as "to Halt".
+func (a *fakeAgent) cut(what ...string) { a.set(func() { a.block = what }) }
+
 // set changes the agent and wakes its watchers.
 func (a *fakeAgent) set(change func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.lapse()
 	change()
-	a.news()
-}
-
-// cut blocks calls of these kinds and directions, such as "to Halt".
-func (a *fakeAgent) cut(what ...string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.block = what
-}
-
-func (a *fakeAgent) news() {
 	a.version++
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
 
-// restart is a new incarnation that takes no runs yet; its predecessor's are
-// still there.
-func (a *fakeAgent) restart() {
+// restart is a new incarnation that takes no runs, and says after a while that
+// those of its predecessor are gone.
+func (a *fakeAgent) restart(clearAfter time.Duration) {
 	a.set(func() {
 		a.number++
-		a.cleared, a.accepting, a.sessionUntil, a.ends, a.version = false, false, 0, map[string][]*wire.RunEnd{}, 0
-		a.runs = map[runKey]*fakeRun{}
-		a.free = a.whole
+		for key, r := range a.runs {
+			r.timer.Stop()
+			a.orphans[key] = r
+		}
+		a.clean()
+		a.cleared, a.accepting = false, false
+	})
+	time.AfterFunc(clearAfter, func() {
+		a.set(func() {
+			for key, r := range a.orphans {
+				a.spans = append(a.spans, span{key.task, r.began, time.Now()})
+				delete(a.orphans, key)
+			}
+			a.cleared = true
+		})
 	})
 }
 
 // Watch implements wire.Runner.
 func (a *fakeAgent) Watch(ctx context.Context, q *wire.WatchRequest) (*wire.WatchReply, error) {
 	a.mu.Lock()
-	now := a.now()
-	a.lapse(now)
-	if a.sessionUntil == 0 {
-		a.sessionUntil = now + wire.SessionLength
-	} else if q.GetRenewUntilMillis() > 0 {
-		a.sessionUntil = max(a.sessionUntil, min(now+wire.SessionLength, time.Duration(q.GetRenewUntilMillis())*time.Millisecond))
+	a.lapse()
+	entry, now := q.GetEntry().GetId(), time.Now()
+	known := q.GetAgent().GetNumber() == a.number
+	until := now.Add(wire.SessionLength)
+	if _, open := a.sessions[entry]; !open {
+		a.sessions[entry] = until
+	} else if known && q.GetRenewUntilMillis() > 0 {
+		asked := a.born.Add(time.Duration(q.GetRenewUntilMillis()) * time.Millisecond)
+		a.sessions[entry] = latest(a.sessions[entry], earliest(until, asked))
 	}
-	entry := q.GetEntry().GetId()
-	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool {
-		return e.GetNumber() <= q.GetEndsSeen() && q.GetAgent().GetNumber() == a.number
-	})
+	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool { return known && e.GetNumber() <= q.GetEndsSeen() })
 	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.ends[entry]) == 0
 	a.mu.Unlock()
 	if none {
@@ -159,47 +198,54 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.now().Milliseconds(),
-		SessionUntilMillis: a.sessionUntil.Milliseconds(), Worker: a.state(), Ends: slices.Clone(a.ends[entry])}, nil
+	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
+		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: slices.Clone(a.ends[entry])}, nil
 }
 
-// lapse stops all runs once the session is over.
-func (a *fakeAgent) lapse(now time.Duration) {
-	if a.sessionUntil == 0 || now < a.sessionUntil {
-		return
-	}
-	a.sessionUntil = 0
-	for key := range a.runs {
-		a.end(key, wire.RunHow_RUN_HOW_LOST)
+// lapse ends the runs of sessions that are over.
+func (a *fakeAgent) lapse() {
+	for entry, until := range a.sessions {
+		if time.Now().Before(until) {
+			continue
+		}
+		delete(a.sessions, entry)
+		for key := range a.runs {
+			if key.entry == entry {
+				a.end(key, wire.RunHow_RUN_HOW_LOST, until)
+			}
+		}
 	}
 }
 
 func (a *fakeAgent) state() *wire.WorkerState {
 	return &wire.WorkerState{Version: a.version, Id: a.id + "-life", Service: "sizing", Capacity: a.whole.Wire(), Free: a.free.Wire(),
-		Accepting: a.accepting, Cleared: a.cleared, Labels: a.labels}
+		Accepting: a.accepting, Cleared: a.cleared}
 }
 
 // Launch implements wire.Runner.
 func (a *fakeAgent) Launch(_ context.Context, q *wire.LaunchRequest) (*wire.LaunchReply, error) {
+	reply := &wire.LaunchReply{}
+	a.set(func() {
+		for _, t := range q.GetTasks() {
+			reason := a.start(q, t)
+			reply.Results = append(reply.Results, &wire.LaunchResult{Accepted: reason == "", Reason: reason})
+		}
+	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lapse(a.now())
-	reply := &wire.LaunchReply{ClockMillis: a.now().Milliseconds()}
-	for _, t := range q.GetTasks() {
-		reason := a.start(q, t)
-		reply.Results = append(reply.Results, &wire.LaunchResult{Accepted: reason == "", Reason: reason})
-	}
-	a.news()
 	reply.Worker = a.state()
 	return reply, nil
 }
 
 func (a *fakeAgent) start(q *wire.LaunchRequest, t *wire.LaunchTask) string {
-	key, need := runKey{t.GetRun().GetTask(), t.GetRun().GetAttempt()}, capacity.Of(t.GetNeed())
+	key, need := fakeKey{q.GetEntry().GetId(), runKey{t.GetRun().GetTask(), t.GetRun().GetAttempt()}}, capacity.Of(t.GetNeed())
+	_, open := a.sessions[key.entry]
 	switch {
 	case a.runs[key] != nil:
 		return ""
-	case q.GetAgent().GetNumber() != a.number, a.sessionUntil == 0, a.now().Milliseconds() > q.GetNotAfterMillis():
+	case a.barred[key]:
+		return "barred"
+	case q.GetAgent().GetNumber() != a.number || !open || a.millis(time.Now()) > q.GetNotAfterMillis():
 		return "late"
 	case !a.accepting:
 		return "draining"
@@ -208,40 +254,43 @@
 	}
 	after, how := a.behave(key.task, key.attempt)
 	a.free = a.free.Minus(need)
-	a.launched = append(a.launched, key)
-	a.runs[key] = &fakeRun{need: need, entry: q.GetEntry().GetId(), began: a.now(), timer: time.AfterFunc(after, func() {
-		a.set(func() { a.lapse(a.now()); a.end(key, how) })
+	a.launched = append(a.launched, key.runKey)
+	a.runs[key] = &fakeRun{need: need, began: time.Now(), timer: time.AfterFunc(after, func() {
+		a.set(func() { a.end(key, how, time.Now()) })
 	})}
 	return ""
 }
 
 // end lists the end of a run.
-func (a *fakeAgent) end(key runKey, how wire.RunHow) {
+func (a *fakeAgent) end(key fakeKey, how wire.RunHow, at time.Time) {
 	r := a.runs[key]
 	if r == nil {
 		return
 	}
 	r.timer.Stop()
 	delete(a.runs, key)
+	a.barred[key] = true
 	a.free = a.free.Plus(r.need)
-	a.list(r.entry, key, how, a.now()-r.began)
+	a.spans = append(a.spans, span{key.task, r.began, at})
+	a.list(key, how, at.Sub(r.began))
 }
 
-func (a *fakeAgent) list(entry string, key runKey, how wire.RunHow, ran time.Duration) {
+func (a *fakeAgent) list(key fakeKey, how wire.RunHow, ran time.Duration) {
 	a.numbered++
-	a.ends[entry] = append(a.ends[entry], &wire.RunEnd{Number: a.numbered, Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: ran.Milliseconds()})
+	a.ends[key.entry] = append(a.ends[key.entry], &wire.RunEnd{Number: a.numbered,
+		Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: ran.Milliseconds()})
 }
 
 // Halt implements wire.Runner.
 func (a *fakeAgent) Halt(_ context.Context, q *wire.HaltRequest) (*wire.HaltReply, error) {
 	a.set(func() {
-		a.halts++
 		for _, id := range q.GetRuns() {
-			key := runKey{id.GetTask(), id.GetAttempt()}
+			key := fakeKey{q.GetEntry().GetId(), runKey{id.GetTask(), id.GetAttempt()}}
 			if a.runs[key] != nil {
-				a.end(key, wire.RunHow_RUN_HOW_STOPPED)
-			} else {
-				a.list(q.GetEntry().GetId(), key, wire.RunHow_RUN_HOW_NOT_STARTED, 0)
+				a.end(key, wire.RunHow_RUN_HOW_STOPPED, time.Now())
+			} else if !a.barred[key] {
+				a.barred[key] = true
+				a.list(key, wire.RunHow_RUN_HOW_NOT_STARTED, 0)
 			}
 		}
 	})
@@ -258,30 +307,53 @@
 func (a *fakeAgent) live() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lapse(a.now())
+	a.lapse()
 	return len(a.runs)
 }
 
 // newDesk returns a running desk over the agents, once they have answered.
 func newDesk(t *testing.T, agents ...*fakeAgent) *Desk {
 	t.Helper()
-	n := &network{agents: map[string]*fakeAgent{}}
-	var members []*wire.Member
+	n := &network{agents: map[string]*fakeAgent{}, fault: func(string) (time.Duration, bool) { return 0, false }}
 	for _, a := range agents {
 		n.agents[a.id] = a
-		members = append(members, &wire.Member{Incarnation: &wire.Incarnation{Id: a.id, Number: 1}, Role: wire.Role_ROLE_AGENT, Address: a.id})
+	}
+	d, _ := startDesk(t, "entry", n)
+	time.Sleep(100 * time.Millisecond)
+	return d
+}
+
+// startDesk runs a desk until the test ends or the function is called.
+func startDesk(t *testing.T, entry string, n *network) (*Desk, func()) {
+	var members []*wire.Member
+	for id := range n.agents {
+		members = append(members, &wire.Member{Incarnation: &wire.Incarnation{Id: id, Number: 1}, Role: wire.Role_ROLE_AGENT, Address: id})
 	}
 	log := slog.New(slog.DiscardHandler)
 	if os.Getenv("JOB_TEST_LOG") != "" {
-		log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("entry", entry)
 	}
 	born := time.Now()
-	d := New(Config{}, &wire.Incarnation{Id: "entry", Number: 1}, func() []*wire.Member { return members },
+	d := New(Config{}, &wire.Incarnation{Id: entry, Number: 1}, func() []*wire.Member { return members },
 		&http.Client{Transport: n}, clock.Func(func() time.Duration { return time.Hour + time.Since(born) }), log, tally.NoopScope)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	t.Cleanup(func() { cancel(); <-ended })
 	go func() { d.Run(ctx); close(ended) }()
-	time.Sleep(100 * time.Millisecond)
-	return d
+	stop := func() { cancel(); <-ended }
+	t.Cleanup(stop)
+	return d, stop
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
