check finds out a file's role by its fields where the name doesn't tell

Change: settings.Guess picks the message that knows most of the fields at the top of the file; skylarklane check asks it last, after --as and the file name. Tests: TestGuess, TestCheckFindsTheRole.

--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -17,7 +17,7 @@
 // cmdCheck is `skylarklane check entry.yaml services/skylarklane.yaml`.
 type cmdCheck struct {
 	Files []string `arg:"" help:"Files to check." type:"existingfile"`
-	As    string   `help:"What the files are: entry, agent, control or service. By default the file name tells: it starts with entry, agent or control, or is skylarklane.yaml." enum:"entry,agent,control,service,name" default:"name"`
+	As    string   `help:"What the files are: entry, agent, control or service. By default the file name tells (it starts with entry, agent or control, or is skylarklane.yaml), else its fields." enum:"entry,agent,control,service,name" default:"name"`
 }
 
 // Run reads each file and reports the first mistake of each.
@@ -40,7 +40,7 @@
 func (c *cmdCheck) check(file string) error {
 	m := c.message(file)
 	if m == nil {
-		return &Error{Op: "check", Kind: KindUsage, Err: eris.Errorf("%s: the name does not tell what the file is; give --as", file)}
+		return &Error{Op: "check", Kind: KindUsage, Err: eris.Errorf("%s: neither its name nor its fields tell what the file is; give --as", file)}
 	}
 	if _, isService := m.(*wire.ServiceFile); isService {
 		return checkService(file)
@@ -71,6 +71,16 @@
 	case c.As == "control" || c.As == "name" && strings.HasPrefix(base, "control"):
 		return &wire.ControlSettings{}
 	default:
+		return byFields(file)
+	}
+}
+
+// byFields returns the message that has most of the fields of the file, nil
+// where none has any.
+func byFields(file string) proto.Message {
+	b, err := os.ReadFile(file)
+	if err != nil {
 		return nil
 	}
+	return settings.Guess(b, &wire.EntrySettings{}, &wire.AgentSettings{}, &wire.ControlSettings{}, &wire.ServiceFile{})
 }
