The desk logs by the catalogue; explain reads its runs

Change: lib/job/note.go logs the desk's events (job received, placed, refused with the room that was known and the age of the oldest word, retried, halted, ended; agents lost, regained, restarted; workers ejected and readmitted). Also: a worker's readmission and the first silence of an agent are logged, which were not told before.

--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -29,6 +29,8 @@
 	fieldReason      = "reason"
 	fieldHow         = "how"
 	fieldAge         = "ageMillis"
+	fieldRuns        = "runs"
+	fieldDetail      = "detail"
 )
 
 // unknownUp is the time since its start of a process that told none.
@@ -59,7 +61,10 @@
 	if job := l.Fields[fieldJob]; job != "" {
 		return job
 	}
-	return jobOf(l.Fields[fieldTask])
+	if task := l.Fields[fieldTask]; task != "" {
+		return jobOf(task)
+	}
+	return jobOf(l.Fields[fieldRuns])
 }
 
 // Part returns the part that logged the line, empty where it isn't known.
--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -6,45 +6,59 @@
 var (
 	JobReceived = ofEntry.success("jobReceived", "A job came in.",
 		"A caller's job was read and will be answered by this entry.",
-		job, service, kind, Field{"tasks", "tasks of the job"}, Field{"deadlineMillis", "how long the caller waits"}, version, queue)
-	JobPlaced = ofEntry.success("jobPlaced", "A task was sent to a worker.",
-		"The entry chose a worker for one task, by the agent's last word on it.",
-		job, task, attempt, run, worker, agent, free, need, speed, age, queue, roomy, Field{"waitedMillis", "since the task could first have started"})
-	RunBegan = ofEntry.success("runBegan", "A run has started.",
-		"The agent accepted the run and the worker has it.",
-		job, task, attempt, run, worker, Field{"tookMillis", "from the order to its answer"})
+		job, service, kind, Field{"tasks", "tasks of the job"}, Field{"idealMillis", "expected time at a good worker"}, due, deadline, queue)
+	JobPlaced = ofEntry.success("jobPlaced", "Tasks were sent to a worker.",
+		"The entry chose the worker by the agent's last word on it, and the agent has accepted the runs.",
+		job, Field{"runs", "the runs, TASK/ATTEMPT each"}, worker, agent, Field{"freeCpuMillis", "free processor by the agent's word, in thousandths of a core"}, Field{"factor", "learned time of tasks at the worker, as a multiple of the usual one"},
+		age, Field{"wordVersion", "version of the agent's word"}, waited, queue)
 	RunRetried = ofEntry.failure("runRetried", "A task is to be placed again.",
-		"A run was refused, lost or failed, and the task goes on elsewhere. Refused, stopped and lost runs count no attempt.",
-		job, task, attempt, run, worker, reason, free, need, age, Field{"attemptsLeft", "attempts that the task has left"})
-	RunEnded = ofEntry.success("runEnded", "A run has ended.",
-		"The agent listed the end of a run of this entry.",
-		job, task, attempt, run, worker, how, runTime)
+		"A run was lost, stopped or failed, and the task goes on elsewhere. Only failed runs count as attempts.",
+		job, task, attempt, worker, reason, detail, Field{"failed", "failed runs of the task"}, Field{"maxAttempts", "failed runs that a task may have"}, ran)
+	RunRefused = ofEntry.refusal("runRefused", "An agent refused a run.",
+		"The run was not started; its task goes on elsewhere.",
+		job, task, attempt, worker, reason, detail, Field{"failed", "failed runs of the task"}, Field{"maxAttempts", "failed runs that a task may have"}, ran)
+	RunHalted = ofEntry.failure("runHalted", "A run is to be stopped.",
+		"The agent is asked until it acknowledges; the run counts until its end is listed.",
+		job, task, attempt, worker, reason, ran, Field{"expectedMillis", "expected run time"})
+	RunEnded = ofEntry.failure("runEnded", "A run has ended and its task is not done.",
+		"The agent listed the end of a run that failed, was stopped or was lost.",
+		job, task, attempt, worker, how, reason, runTime)
 	JobEnded = ofEntry.success("jobEnded", "A job is complete.",
 		"All tasks are done and the caller has its answer.",
-		job, service, kind, state, Field{"attempts", "runs of all tasks"},
-		Field{"startedMillis", "from receipt to the first start"}, Field{"endedMillis", "from receipt to the last end"}, Field{"answeredMillis", "from receipt to the answer"})
+		job, service, started, ended, answered, due, queue)
 	JobFailed = ofEntry.failure("jobFailed", "A job failed.",
-		"A task failed as often as it may, or can't be run; the caller has its answer.",
-		job, service, kind, state, reason, task, worker, Field{"attempts", "runs of all tasks"}, Field{"maxAttempts", "attempts that a task may take"},
-		Field{"startedMillis", "from receipt to the first start"}, Field{"endedMillis", "from receipt to the last end"}, Field{"answeredMillis", "from receipt to the answer"})
+		"A task failed as often as it may, can't be run, or the job was given up after its start; the caller has its answer.",
+		job, service, reason, tasksLeft, Field{"running", "runs that are being stopped"}, Field{"maxAttempts", "failed runs that a task may have"}, started, answered, due, queue, known, roomy, age)
 	JobRefused = ofEntry.refusal("jobRefused", "A job was refused and not run.",
 		"No task of the job was or will be started; the caller may come back.",
-		job, service, kind, reason, retryAfter, known, roomy, queue, need, age, version, Field{"waitedMillis", "from receipt to the refusal"})
+		job, service, reason, retryAfter, started, answered, due, tasksLeft, Field{"running", "runs that are being stopped"}, queue, known, roomy, age)
 	JobAbandoned = ofEntry.failure("jobAbandoned", "A job was given up.",
-		"The caller left or its deadline passed; all runs of the job are being stopped.",
-		job, service, kind, reason, Field{"running", "runs that are being stopped"}, Field{"waitedMillis", "from receipt"})
+		"The caller left, its deadline passed or the entry must end; all runs of the job are being stopped.",
+		job, service, reason, tasksLeft, Field{"running", "runs that are being stopped"}, started, answered, due, queue, known, roomy, age)
+	LaunchUnanswered = ofEntry.warning(Failure, "launchUnanswered", "A launch got no answer.",
+		"Its runs are halted: they may have started.", job, Field{"runs", "the runs, TASK/ATTEMPT each"}, agent, worker, problem)
 	HaltUnanswered = ofEntry.warning(Failure, "haltUnanswered", "An order to halt got no answer.",
 		"The entry asks again until the agent answers or its session there has surely ended.",
-		job, task, run, worker, agent, tries, problem)
+		agent, Field{"runs", "the runs, TASK/ATTEMPT each"}, problem)
 	WorkerEjected = ofEntry.warning(Change, "workerEjected", "A worker gets no tasks for a while.",
-		"Too many runs failed or were late on the worker.",
-		worker, reason, Field{"failures", "failed runs of late"}, Field{"runs", "runs of late"}, Field{"forMillis", "until it is tried again"})
+		"Too many runs failed or hung on the worker; then one task tries it.",
+		worker, agent, Field{"failureRate", "part of the runs that failed of late"}, Field{"ejections", "ejections in a row"}, Field{"forMillis", "until it is tried"})
 	WorkerReadmitted = ofEntry.change("workerReadmitted", "A worker gets tasks again.",
-		"The time of the ejection is over or a trial succeeded.", worker, reason)
+		"A task that tried the ejected worker was done.", worker, agent)
+	WorkerWord = ofEntry.change("workerWord", "An agent's word on its worker has changed.",
+		"The worker is another one, or takes or refuses new runs.",
+		worker, agent, service, Field{"accepting", "whether it takes new runs"}, reason, Field{"wordVersion", "version of the agent's word"})
+	AgentListed = ofEntry.change("agentListed", "An agent is in the directory.",
+		"The entry calls it from now on.", agent, address)
+	AgentUnlisted = ofEntry.change("agentUnlisted", "An agent has left the directory.",
+		"The entry calls it no more; no run of this entry is left there.", agent)
 	AgentLost = ofEntry.warning(Change, "agentLost", "An agent does not answer.",
-		"The entry has heard nothing on its Watch; runs there are waited for until they are surely gone.",
-		agent, worker, incarnation, silence, reason, Field{"running", "runs of this entry there"}, Field{"goneMillis", "until the runs there are surely gone"})
-	AgentRegained = ofEntry.change("agentRegained", "An agent answers again.",
+		"It gets no launches; runs there are waited for until they are surely gone.",
+		agent, worker, silence, Field{"running", "runs of this entry there"}, Field{"goneMillis", "until the runs there are surely gone"})
+	AgentRegained = ofEntry.change("agentRegained", "An agent answers.",
 		"A Watch was answered after a silence, or for the first time.",
-		agent, worker, incarnation, silence, Field{"cleared", "whether a new incarnation said that no earlier run is left"})
+		agent, worker, silence)
+	AgentRestarted = ofEntry.warning(Change, "agentRestarted", "An agent has restarted.",
+		"Another incarnation answers; the runs under the last one are waited for until it says that they are gone.",
+		agent, incarnation, Field{"running", "runs of this entry under the last one"})
 )
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -23,6 +23,8 @@
 		"The process goes on with what it knows.", Field{"dependency", "what is lost, such as control"}, address, problem, silence)
 	DependencyRegained = ofAll.change("dependencyRegained", "A dependency is back.",
 		"The process follows it again.", Field{"dependency", "what is back"}, address, silence)
+	ProcessPaused = ofAll.warning(Change, "processPaused", "The process was stopped for a while.",
+		"The machine was suspended, or the process got no processor time.", Field{"gapMillis", "how long"}, Field{"inFlight", "requests or runs in flight"})
 	LinesLeftOut = ofAll.add(Change, slog.LevelWarn, "linesLeftOut", "Lines were left out.",
 		"The log is under load, or its reader is slow.", Field{"sampledOut", "lines by event that sampling left out"}, Field{"noRoom", "lines by event that the full queue left out"})
 )
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -67,8 +67,7 @@
 	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * d.bestFactor(j.Service, now))
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
-	d.log.Info("A job has come in.", "job", j.ID, "service", j.Service, "kind", j.Kind.GetName(), "tasks", w.tasksLeft,
-		"idealMillis", w.ideal.Milliseconds(), "dueMillis", w.objective.Due.Milliseconds(), "queued", len(d.queue))
+	d.noteReceived(w)
 	if d.neverFits(w) {
 		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
 		return w
@@ -104,7 +103,7 @@
 // refuse is the outcome of a job that was never taken in hand.
 func (d *Desk) refuse(j Job, reason string) Outcome {
 	d.metrics.refusal(reason)
-	d.log.Info("A job is refused.", "job", j.ID, "service", j.Service, "reason", reason)
+	d.noteRefused(j, reason)
 	return Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter}
 }
 
--- a/lib/job/desk.go
+++ b/lib/job/desk.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"skylarklane.example/lib/clock"
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -155,7 +156,7 @@
 			open = append(open, w)
 		}
 	}
-	d.log.Info("The desk is closing.", "openJobs", len(open))
+	d.note(event.Stopping, slog.String("reason", "desk"), slog.Int("inFlight", len(open)))
 	return open
 }
 
--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -33,13 +33,7 @@
 	default:
 		d.metrics.failure(w.outcome.Reason)
 	}
-	started := time.Duration(0)
-	if w.startedAt != 0 {
-		started = w.startedAt - w.receivedAt
-	}
-	d.log.Info("A job has ended.", "job", w.ID, "state", w.outcome.State.String(), "reason", w.outcome.Reason,
-		"tasksLeft", w.tasksLeft, "runsLeft", w.live, "startedMillis", started.Milliseconds(),
-		"tookMillis", (now - w.receivedAt).Milliseconds(), "dueMillis", w.objective.Due.Milliseconds(), "queued", len(d.queue))
+	d.noteAnswered(w, now)
 }
 
 // release forgets a job that is answered and of which no run is left.
--- a/lib/job/halt.go
+++ b/lib/job/halt.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		h.l.dropConnections()
 		d.metrics.retry("halt")
-		d.log.Warn("A halt got no answer.", "agent", q.GetAgent().GetId(), "runs", len(runs), "error", err)
+		d.noteHaltUnanswered(q.GetAgent(), runs, err)
 		return false
 	}
 	now := d.clock.Now()
@@ -109,6 +109,7 @@
 		return
 	}
 	d.metrics.halt(why)
+	d.noteHalted(r, why, now)
 	r.link.halter.add(r)
 }
 
--- a/lib/job/launch.go
+++ b/lib/job/launch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"time"
 
@@ -32,14 +33,12 @@
 	runs   []*run
 	q      *wire.LaunchRequest
 	// inputs are what the choice was made by, for the log.
-	inputs []any
+	inputs []slog.Attr
 }
 
 // newLaunch returns an empty order.
 func (d *Desk) newLaunch(w *work, l *link, now time.Duration) *launch {
-	inputs := []any{"job", w.ID, "agent", l.agent.GetId(), "worker", l.word.GetId(), "freeCpuMillis", l.free.CPUMillis, "factor", l.factor(now),
-		"version", l.word.GetVersion(), "wordAgeMillis", (now - l.wordAt).Milliseconds(), "waitedMillis", (now - w.receivedAt).Milliseconds()}
-	return &launch{d: d, link: l, runner: l.runner, work: w, inputs: inputs, q: &wire.LaunchRequest{
+	return &launch{d: d, link: l, runner: l.runner, work: w, inputs: d.inputsOf(w, l, now), q: &wire.LaunchRequest{
 		Entry:          d.self,
 		Agent:          l.agent,
 		NotAfterMillis: min(l.sessionMillis, l.agentMillis(now+launchLife)),
@@ -105,7 +104,7 @@
 func (d *Desk) launchUnsettled(o *launch, err error, now time.Duration) {
 	o.link.dropConnections()
 	o.link.pausedUntil = now + unreachablePause
-	d.log.Warn("A launch got no answer.", "job", o.work.ID, "agent", o.q.GetAgent().GetId(), "tasks", len(o.runs), "error", err)
+	d.noteLaunchUnanswered(o, err)
 	for _, r := range o.open() {
 		d.unreserve(r)
 		d.halt(r, reasonNoReply, now)
@@ -128,21 +127,19 @@
 	if wire.Same(o.q.GetAgent(), o.link.agent) {
 		o.link.takeWord(reply.GetWorker(), now)
 	}
-	taken := 0
+	var taken []*run
 	for i, r := range o.runs {
 		result := reply.GetResults()[i]
 		switch {
 		case o.link.runs[r.key()] != r: // its end came first, or the agent is a new one
 		case result.GetAccepted():
-			taken++
+			taken = append(taken, r)
 			d.started(r, now)
 		default:
 			d.refusedRun(r, result.GetReason(), now)
 		}
 	}
-	if taken > 0 {
-		d.log.Info("Tasks are placed.", append(o.inputs, "tasks", taken, "refused", len(o.runs)-taken)...)
-	}
+	d.notePlaced(o, taken)
 }
 
 // started notes that an agent has accepted a run.
@@ -163,7 +160,7 @@
 	if r.need.Fits(l.room()) {
 		l.pausedUntil = now + refusedPause
 	}
-	d.again(r, "refused", reason, now)
+	d.again(r, causeRefused, reason, now)
 }
 
 // open returns the runs of the order that are not settled.
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -55,6 +55,9 @@
 	unanswered capacity.Vector
 	wordAt     time.Duration
 	answeredAt time.Duration
+	// lost is set while the agent's silence is logged, and before its first
+	// answer.
+	lost bool
 	// clockMillis is the agent's clock as read at clockAt or before.
 	clockMillis int64
 	clockAt     time.Duration
@@ -132,16 +135,6 @@
 	l.capacity = capacity.Of(word.GetCapacity())
 }
 
-// noteWord logs a change in what the worker is and does.
-func (l *link) noteWord(word *wire.WorkerState) {
-	if l.word.GetId() == word.GetId() && l.word.GetAccepting() == word.GetAccepting() && l.word.GetReason() == word.GetReason() {
-		return
-	}
-	l.d.log.Info("The worker's state has changed.", "agent", l.member.GetIncarnation().GetId(),
-		"worker", word.GetId(), "service", word.GetService(), "accepting", word.GetAccepting(),
-		"reason", word.GetReason(), "version", word.GetVersion())
-}
-
 // dial makes the calls to the agent go to its address, over connections of
 // their own.
 func (l *link) dial(member *wire.Member) {
--- a/lib/job/reason.go
+++ b/lib/job/reason.go
@@ -20,4 +20,7 @@
 	reasonRestarted  = "agentRestarted"
 	reasonGap        = "processStopped"
 	reasonNotSent    = "notSent"
+
+	// causeRefused is why a run whose agent refused it is placed again.
+	causeRefused = "refused"
 )
--- a/lib/job/run.go
+++ b/lib/job/run.go
@@ -1,11 +1,9 @@
 package job
 
 import (
-	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
-	"skylarklane.example/lib/placement"
 	"skylarklane.example/lib/wire"
 )
 
@@ -136,6 +134,7 @@
 		return
 	}
 	r.ranAtAll(end.GetHow() != wire.RunHow_RUN_HOW_NOT_STARTED)
+	d.noteEnd(r, end)
 	switch end.GetHow() {
 	case wire.RunHow_RUN_HOW_DONE:
 		d.taskDone(r, time.Duration(end.GetRunMillis())*time.Millisecond, now)
@@ -157,7 +156,9 @@
 		ran = now - r.sentAt
 	}
 	d.learn(r, ran, now)
-	r.link.conduct = r.link.conduct.WithDone()
+	before := r.link.conduct
+	r.link.conduct = before.WithDone()
+	d.noteConduct(r.link, before)
 	w.endedAt = now
 	d.metrics.ran.RecordDuration(now - r.sentAt)
 	if !w.answered {
@@ -195,12 +196,7 @@
 		return
 	}
 	d.metrics.retry(cause)
-	level := slog.LevelInfo
-	if cause == "refused" {
-		level = slog.LevelDebug
-	}
-	d.log.Log(d.ctx, level, "A task is to start again.", "job", w.ID, "task", r.task.name, "attempt", r.attempt, "cause", cause,
-		"reason", reason, "worker", r.worker, "failed", r.task.failed, "runMillis", (now - r.sentAt).Milliseconds())
+	d.noteAgain(r, cause, reason, now)
 	w.pending = append(w.pending, r.task)
 	d.enqueue(w)
 }
@@ -224,13 +220,3 @@
 	}
 	return false
 }
-
-// noteConduct logs where a worker has been ejected.
-func (d *Desk) noteConduct(l *link, before placement.Conduct) {
-	if l.conduct.Until == before.Until {
-		return
-	}
-	d.metrics.refusal("ejected")
-	d.log.Warn("A worker is ejected.", "worker", l.word.GetId(), "failureRate", l.conduct.Rate, "ejections", l.conduct.Ejections,
-		"untilMillis", (l.conduct.Until - d.clock.Now()).Milliseconds())
-}
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -45,7 +47,7 @@
 		if l.gone && len(l.runs)+len(l.orphans) == 0 {
 			l.cancel()
 			delete(d.links, id)
-			d.log.Info("The agent has left.", "agent", id)
+			d.note(event.AgentUnlisted, slog.String("agent", id))
 		}
 	}
 }
@@ -58,11 +60,11 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, answeredAt: d.clock.Now() - silentAfter - 1}
+	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, answeredAt: d.clock.Now() - silentAfter - 1, lost: true}
 	l.halter.l = l
 	l.dial(member)
 	d.links[id] = l
-	d.log.Info("A new agent is followed.", "agent", id, "address", member.GetAddress())
+	d.note(event.AgentListed, slog.String("agent", id), slog.String("address", member.GetAddress()))
 	d.calls.Go(l.loop)
 }
 
@@ -90,7 +92,7 @@
 
 // resume goes on after the process was stopped for a while.
 func (d *Desk) resume(gap, now time.Duration) {
-	d.log.Warn("The process was stopped for a while.", "gapMillis", gap.Milliseconds(), "jobs", len(d.jobs))
+	d.note(event.ProcessPaused, millis("gapMillis", gap), slog.Int("inFlight", len(d.jobs)))
 	d.notBefore = now + gapPause
 	if gap < gapTooLong {
 		return
@@ -103,6 +105,9 @@
 // tickLink settles the runs of an agent that has been silent for so long that
 // they have surely ended, and halts those that hang.
 func (d *Desk) tickLink(l *link, now time.Duration) {
+	if l.silent(now) {
+		l.noteLost(now)
+	}
 	if l.silent(now) && now > l.surelyEnded() {
 		d.loseRuns(l, now)
 		return
@@ -136,8 +141,6 @@
 	d.noteConduct(l, before)
 	r.task.hangs++
 	r.task.avoid = append(r.task.avoid, r.worker)
-	d.log.Info("A task hangs and is stopped.", "job", r.work.ID, "task", r.task.name, "attempt", r.attempt, "worker", r.worker,
-		"elapsedMillis", (now - r.sentAt).Milliseconds(), "expectedMillis", r.expected.Milliseconds())
 	d.halt(r, reasonHangs, now)
 }
 
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -79,9 +79,7 @@
 	if !d.recognise(l, reply.GetAgent()) {
 		return false
 	}
-	if l.silent(now) {
-		d.log.Info("The agent answers again.", "agent", l.agent.GetId(), "silentMillis", (now - l.answeredAt).Milliseconds())
-	}
+	l.noteRegained(now)
 	l.answeredAt = now
 	l.clockMillis = reply.GetClockMillis()
 	l.clockAt = now
@@ -112,7 +110,7 @@
 		return true
 	}
 	if l.agent != nil {
-		d.log.Info("The agent has restarted.", "agent", agent.GetId(), "incarnation", agent.GetNumber(), "runs", len(l.runs))
+		d.noteRestarted(agent, l)
 	}
 	for key, r := range l.runs {
 		l.orphans = append(l.orphans, r)
--- a/lib/process/log.go
+++ b/lib/process/log.go
@@ -8,9 +8,13 @@
 	"log/slog"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
+// closeTimeout bounds how long the end of a process waits for its log's reader.
+const closeTimeout = time.Second
+
 // Attributes that tell the lines of processes apart.
 const (
 	logProcess     = "process"
@@ -68,14 +72,30 @@
 	}
 }
 
+// Stop writes the last line of a process, which ended by err or in good order,
+// closes the log and returns the exit code.
+func (l *Log) Stop(err error) int {
+	code := ExitOK
+	if err != nil {
+		code = ExitFailed
+		event.Failed.Log(context.Background(), l.logger, slog.Any("error", err))
+	} else {
+		event.Stopped.Log(context.Background(), l.logger)
+	}
+	l.Close(closeTimeout)
+	return code
+}
+
 // Identify returns a logger whose lines name the process and its incarnation.
+// Where log is that of a daemon, all its lines do from now on.
 func Identify(log *slog.Logger, who *wire.Incarnation) *slog.Logger {
 	attrs := []slog.Attr{
 		slog.String(logProcess, who.GetId()),
-		slog.String(logIncarnation, formatIncarnation(who.GetNumber())),
+		slog.String(logIncarnation, who.Life()),
 	}
 	if h, ok := log.Handler().(*boundedHandler); ok {
 		h.core.identity.Store(&attrs)
+		return log
 	}
 	return slog.New(log.Handler().WithAttrs(attrs))
 }
--- a/lib/process/log_core.go
+++ b/lib/process/log_core.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"log/slog"
-	"strconv"
 	"sync/atomic"
 
 	"skylarklane.example/lib/event"
@@ -70,5 +69,3 @@
 		return middlePriority
 	}
 }
-
-func formatIncarnation(number uint64) string { return strconv.FormatUint(number, 16) }
--- a/lib/process/log_handler.go
+++ b/lib/process/log_handler.go
@@ -75,9 +75,12 @@
 	return e, job
 }
 
-// complete adds the prefix and the time since the start.
+// complete adds the prefix and the attributes that all lines have.
 func (c *logCore) complete(r *slog.Record, up int64) {
 	r.Message = c.prefix + r.Message
+	if identity := c.identity.Load(); identity != nil {
+		r.AddAttrs(*identity...)
+	}
 	r.AddAttrs(slog.Int64(logUp, up))
 }
 
--- a/lib/process/log_test.go
+++ b/lib/process/log_test.go
@@ -20,9 +20,6 @@
 	"skylarklane.example/lib/wire"
 )
 
-// closeTimeout bounds the end of a log in tests.
-const closeTimeout = time.Second
-
 // writtenLine is a line as its reader sees it.
 type writtenLine struct {
 	Message     string         `json:"msg"`
--- a/lib/process/log_writer.go
+++ b/lib/process/log_writer.go
@@ -75,11 +75,7 @@
 	r.AddAttrs(w.core.leftOut.take()...)
 	w.core.complete(&r, w.core.clock.millis())
 	var line bytes.Buffer
-	h := newLineHandler(&line, w.core.json)
-	if identity := w.core.identity.Load(); identity != nil {
-		h = h.WithAttrs(*identity)
-	}
-	_ = h.Handle(context.Background(), r)
+	_ = newLineHandler(&line, w.core.json).Handle(context.Background(), r)
 	return line.Bytes()
 }
 
