Control hosts and members log by the catalogue

Change: the events of lib/quorum, lib/control and lib/membership are those of lib/event; only log lines are touched. Tests: lib/quorum, lib/control, lib/membership with the race detector.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/link"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/quorum"
@@ -113,7 +114,7 @@
 
 // SetSeeds puts other seeds in the place of the ones in force.
 func (c *Control) SetSeeds(ctx context.Context, seeds []string) error {
-	c.log.Info("The seeds are set.", "seeds", seeds)
+	event.SeedsSet.Log(ctx, c.log, slog.Any("seeds", seeds))
 	return c.node.SetSeeds(ctx, seeds)
 }
 
@@ -150,17 +151,17 @@
 		return
 	}
 	for _, command := range commands {
-		c.announce(command)
+		c.announce(ctx, command)
 		if _, err := c.propose(ctx, command); err != nil {
-			c.log.Warn("A decision is in doubt.", "error", err)
+			event.DecisionInDoubt.Log(ctx, c.log, slog.Any("error", err))
 		}
 	}
 }
 
 // announce logs who is declared dead.
-func (c *Control) announce(command *wire.Command) {
+func (c *Control) announce(ctx context.Context, command *wire.Command) {
 	for _, who := range command.GetDeclare().GetDead() {
-		c.log.Warn("A member is silent and declared dead.", "id", who.GetId(), "incarnation", who.GetNumber())
+		event.MemberDead.Log(ctx, c.log, slog.String("member", who.GetId()), slog.String("peerIncarnation", who.Life()))
 		c.scope.Counter("declared_dead").Inc(1)
 	}
 	if n := len(command.GetMove().GetViews()); n > 0 {
--- a/lib/control/operator.go
+++ b/lib/control/operator.go
@@ -5,12 +5,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/quorum"
 	"skylarklane.example/lib/service"
 	"skylarklane.example/lib/wire"
@@ -40,7 +42,7 @@
 	}
 	if err := service.Check(q.GetServices(), q.GetTeams()); err != nil {
 		c.refused(reasonInvalid)
-		c.log.Warn("Refused an invalid configuration.", "declared", q.GetDeclaredVersion(), "changeId", q.GetChangeId(), "error", err)
+		event.ConfigRefused.Log(ctx, c.log, append(change(q), slog.String("reason", reasonInvalid), slog.Any("error", err))...)
 		return &wire.PublishReply{Reason: reasonInvalid, Detail: err.Error()}, nil
 	}
 	return untilDone(ctx, c, proposeTimeout, publishAttempt, func(ctx context.Context) (*wire.PublishReply, error) { return c.publishOnce(ctx, q) })
@@ -60,11 +62,23 @@
 	if !reply.GetAccepted() {
 		c.refused(reply.GetReason())
 	}
-	c.log.Info("Answered a change of the configuration.", "accepted", reply.GetAccepted(), "version", reply.GetVersion(),
-		"declared", q.GetDeclaredVersion(), "changeId", q.GetChangeId(), "sourceDigest", shortDigest(q.GetSource()), "reason", reply.GetReason())
+	attrs := append(change(q), slog.Uint64("version", reply.GetVersion()))
+	if reply.GetAccepted() {
+		event.ConfigAccepted.Log(ctx, c.log, attrs...)
+	} else {
+		event.ConfigRefused.Log(ctx, c.log, append(attrs, slog.String("reason", reply.GetReason()))...)
+	}
 	return reply, nil
 }
 
+// change names a change in the log.
+func change(q *wire.PublishRequest) []slog.Attr {
+	return []slog.Attr{
+		slog.Uint64("declared", q.GetDeclaredVersion()), slog.String("changeId", q.GetChangeId()),
+		slog.String("sourceDigest", shortDigest(q.GetSource())),
+	}
+}
+
 // shortDigest tells sources apart in logs.
 func shortDigest(source []byte) string {
 	sum := sha256.Sum256(source)
@@ -197,7 +211,7 @@
 	var e *quorum.Error
 	switch {
 	case err == nil:
-		c.log.Warn("The control group changes.", "host", q.GetId(), "remove", q.GetRemove())
+		event.GroupChanged.Log(ctx, c.log, slog.String("host", q.GetId()), slog.Bool("remove", q.GetRemove()))
 		return &wire.ChangeHostReply{Changed: true}, nil
 	case errors.As(err, &e) && (e.Kind == quorum.KindBusy || e.Kind == quorum.KindMember):
 		return &wire.ChangeHostReply{Detail: err.Error()}, nil
--- a/lib/event/control.go
+++ b/lib/event/control.go
@@ -1,28 +1,42 @@
 package event
 
+import "log/slog"
+
 var ofControl = section{PartControl}
 
 // What control hosts log.
 var (
 	LeaderChanged = ofControl.change("leaderChanged", "The control group's leader changed.",
 		"This host leads, follows another leader, or knows none.",
-		host, Field{"leader", "id of the leader, empty where none is known"}, term, reason, Field{"leaderlessMillis", "how long no leader was known"})
-	HostAdmitted = ofControl.change("hostAdmitted", "A control host was admitted.",
-		"The host follows the log, or has got its vote.", host, address, Field{"voter", "whether it votes"}, Field{"hosts", "hosts of the group"})
-	HostRemoved = ofControl.warning(Change, "hostRemoved", "A control host was removed.",
-		"The host is no longer part of the group.", host, address, reason, Field{"hosts", "hosts of the group"}, silence)
-	HostRejoined = ofControl.warning(Change, "hostRejoined", "A control host came back without its data.",
-		"The host follows without a vote until it has caught up.", host, address, reason)
+		Field{"leader", "id of the leader, empty where none is known"}, address, term, reason)
+	GroupFounded = ofControl.change("groupFounded", "The control group was founded.",
+		"The first hosts agree on the group's members.", Field{"group", "the group's number"}, Field{"hosts", "hosts of the group"})
+	GroupJoined = ofControl.change("groupJoined", "This host joined the control group.",
+		"Its new data folder belongs to the group from now on.", Field{"group", "the group's number"}, Field{"folder", "number of the data folder"})
+	HostAdmitted = ofControl.change("hostAdmitted", "A control host gets its vote.",
+		"The host has caught up with the log.", host)
+	HostRemoved = ofControl.warning(Change, "hostRemoved", "A control host is removed from the group.",
+		"The host has not answered for long.", host, address, silence, Field{"voter", "whether it voted"}, Field{"reached", "voters that answer"})
+	HostRejoined = ofControl.warning(Change, "hostRejoined", "A control host comes with a new data folder.",
+		"The host follows without a vote until it has caught up.", host, address, Field{"folder", "number of the data folder"}, Field{"known", "whether the group had the host"})
+	HostStartsOver = ofControl.warning(Change, "hostStartsOver", "This host starts over with a new data folder.",
+		"Its folder was replaced or is corrupt, and the group lives.", host)
+	HostFailed = ofControl.add(Failure, slog.LevelError, "hostFailed", "This host stops taking part for now.",
+		"Its data folder can't be used; it tries again.", problem)
+	GroupChanged = ofControl.warning(Change, "groupChanged", "An operator changed the control group.",
+		"A host was added or removed by order.", host, Field{"remove", "whether it was removed"})
+	SeedsSet = ofControl.change("seedsSet", "The seeds were set.",
+		"The settings name other control hosts than before.", Field{"seeds", "addresses of control hosts"})
 	MemberJoined = ofControl.change("memberJoined", "An entry or agent joined.",
-		"The member is in the directory.", member, incarnation, Field{"role", "entry or agent"}, address, Field{"directory", "version of the directory"})
+		"The member is in the directory.", member, incarnation, Field{"role", "entry or agent"}, address)
 	MemberDead = ofControl.warning(Change, "memberDead", "An entry or agent is declared dead.",
-		"The member's lease ran out, or it left.", member, incarnation, Field{"role", "entry or agent"}, reason, silence, Field{"directory", "version of the directory"})
+		"The member has not renewed its lease.", member, incarnation)
+	DecisionInDoubt = ofControl.warning(Failure, "decisionInDoubt", "A decision is in doubt.",
+		"The leader could not commit it in time; it is taken again.", problem)
 	ConfigAccepted = ofControl.change("configAccepted", "A configuration was accepted.",
-		"The change is committed and will be in force everywhere.", version, Field{"before", "version that it replaces"}, Field{"change", "id of the change"}, Field{"author", "who published it"}, Field{"tookMillis", "from receipt to commitment"})
+		"The change is committed and will be in force everywhere.", version, declared, changeID, digest)
 	ConfigRefused = ofControl.warning(Refusal, "configRefused", "A configuration was refused.",
-		"Nothing was changed.", version, Field{"held", "version that is held"}, Field{"change", "id of the change"}, reason, problem)
+		"Nothing was changed.", version, declared, changeID, digest, reason, problem)
 	DiskSlow = ofControl.warning(Failure, "diskSlow", "A sync took long.",
-		"The data folder's disk is slow.", Field{"tookMillis", "how long the sync took"}, Field{"file", "name of the file"})
-	DiskFailed = ofControl.warning(Failure, "diskFailed", "The disk refused a write.",
-		"The host acknowledges nothing until a write has succeeded.", Field{"file", "name of the file"}, problem)
+		"The data folder's disk is slow.", Field{"tookMillis", "how long the sync took"})
 )
--- a/lib/event/field.go
+++ b/lib/event/field.go
@@ -54,6 +54,9 @@
 	silence     = Field{"silentMillis", "how long nothing was heard"}
 	incarnation = Field{"peerIncarnation", "incarnation of the other process"}
 	version     = Field{"version", "version of the configuration"}
+	declared    = Field{"declared", "version that the operator declared"}
+	changeID    = Field{"changeId", "id of the change"}
+	digest      = Field{"sourceDigest", "digest of the configuration's source"}
 	term        = Field{"term", "term of the control group's leader"}
 	problem     = Field{"error", "the error"}
 	tries       = Field{"tries", "how often it was tried"}
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -18,11 +18,13 @@
 	Reloaded = ofAll.change("reloaded", "The settings were read again.",
 		"A SIGHUP came.", Field{"changed", "names of the fields that changed"}, problem)
 	ConfigInForce = ofAll.change("configInForce", "A configuration is in force.",
-		"From now on the process decides by it.", version, Field{"before", "version that it replaces"}, age, Field{"from", "control host that sent it"})
+		"From now on the process decides by it.", version, Field{"before", "version that it replaces"})
+	DeclaredDead = ofAll.add(Change, slog.LevelError, "declaredDead", "The control group has declared this process dead.",
+		"It ends, or joins again as another incarnation.", Field{"newIncarnation", "number of the new incarnation, hexadecimal"})
 	DependencyLost = ofAll.warning(Change, "dependencyLost", "A dependency is lost.",
-		"The process goes on with what it knows.", Field{"dependency", "what is lost, such as control"}, address, problem, silence)
+		"The process goes on with what it knows.", Field{"dependency", "what is lost, such as control"}, Field{"asked", "addresses that were asked"}, silence, Field{"directory", "version of the directory at hand"})
 	DependencyRegained = ofAll.change("dependencyRegained", "A dependency is back.",
-		"The process follows it again.", Field{"dependency", "what is back"}, address, silence)
+		"The process follows it again.", Field{"dependency", "what is back"}, Field{"leader", "id of the control group's leader"}, silence)
 	ProcessPaused = ofAll.warning(Change, "processPaused", "The process was stopped for a while.",
 		"The machine was suspended, or the process got no processor time.", Field{"gapMillis", "how long"}, Field{"inFlight", "requests or runs in flight"})
 	LinesLeftOut = ofAll.add(Change, slog.LevelWarn, "linesLeftOut", "Lines were left out.",
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/link"
 	"skylarklane.example/lib/wire"
 )
@@ -239,7 +240,7 @@
 	}
 	f.buried = true
 	f.validUntil = time.Time{}
-	f.log.Error("The control group has declared this process dead.")
+	event.DeclaredDead.Log(context.Background(), f.log)
 	close(f.dead)
 }
 
@@ -266,7 +267,7 @@
 	}
 	if newest.GetConfigVersion() != f.directory.GetConfigVersion() {
 		f.configuredAt = f.heardAt
-		f.log.Info("A configuration is in force.", "version", newest.GetConfigVersion(), "before", f.directory.GetConfigVersion())
+		event.ConfigInForce.Log(context.Background(), f.log, slog.Uint64("version", newest.GetConfigVersion()), slog.Uint64("before", f.directory.GetConfigVersion()))
 	}
 	f.directory = newest
 	close(f.changed)
--- a/lib/membership/hosts.go
+++ b/lib/membership/hosts.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
+// dependency is what a member loses with its lease.
+const dependency = "control"
+
 // SetSeeds puts other control hosts in the place of those of the settings.
 // Those that the group has named stay known.
 func (f *Follower) SetSeeds(seeds []string) {
@@ -56,7 +61,7 @@
 	}
 	f.joining = true
 	f.validUntil = time.Time{}
-	f.log.Warn("The control group has declared this member dead; it joins again.", "before", old.GetNumber(), "now", who.GetNumber())
+	event.DeclaredDead.Log(context.Background(), f.log, slog.String("newIncarnation", who.Life()))
 	f.mu.Unlock()
 	f.rejoined(who)
 	f.mu.Lock()
@@ -88,7 +93,8 @@
 		return
 	}
 	f.lost = true
-	f.log.Warn("No control host grants a lease.", "asked", len(f.allAddresses()), "heardAt", f.heardAt, "directory", f.directory.GetVersion())
+	event.DependencyLost.Log(ctx, f.log, slog.String("dependency", dependency), slog.Int("asked", len(f.allAddresses())),
+		slog.Int64("silentMillis", f.silentMillis()), slog.Uint64("directory", f.directory.GetVersion()))
 }
 
 // regain takes note that one does again.
@@ -99,5 +105,14 @@
 		return
 	}
 	f.lost = false
-	f.log.Info("A control host grants a lease again.", "leader", f.leader)
+	event.DependencyRegained.Log(context.Background(), f.log, slog.String("dependency", dependency), slog.String("leader", f.leader))
+}
+
+// silentMillis is how long no control host has granted a lease, 0 where none
+// ever did.
+func (f *Follower) silentMillis() int64 {
+	if f.heardAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.heardAt).Milliseconds()
 }
--- a/lib/quorum/found.go
+++ b/lib/quorum/found.go
@@ -1,8 +1,10 @@
 package quorum
 
 import (
+	"log/slog"
 	"slices"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -71,7 +73,7 @@
 		n.fail(err)
 		return
 	}
-	n.log.Info("Founded the group.", "group", group.GetId(), "hosts", len(group.GetHosts()))
+	n.note(event.GroupFounded, slog.Uint64("group", group.GetId()), slog.Int("hosts", len(group.GetHosts())))
 	n.commit, n.applied, n.appliedGroup = 1, 1, group
 	n.findGroup()
 	n.campaignAt = n.cfg.Now().Add(n.cfg.Timing.Election / 4)
--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -60,7 +61,7 @@
 		if !mendable(err) {
 			return err
 		}
-		h.log.Error("This host stops taking part for now.", "error", err)
+		event.HostFailed.Log(ctx, h.log, slog.Any("error", err))
 		if !h.mend(ctx, err) {
 			return nil
 		}
@@ -91,7 +92,7 @@
 			cause = renewFolder(h.folder, h.cfg.ID)
 		}
 		if renew && cause == nil {
-			h.log.Warn("This host starts over with a new data folder.", "host", h.cfg.ID)
+			event.HostStartsOver.Log(ctx, h.log, slog.String("host", h.cfg.ID))
 		}
 		if cause = h.reopen(); cause == nil {
 			return true
--- a/lib/quorum/meet.go
+++ b/lib/quorum/meet.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -173,7 +175,7 @@
 		return
 	}
 	n.heardAt = time.Time{}
-	n.log.Info("Joined the group.", "group", group, "folder", n.store.identity.GetFolder())
+	n.note(event.GroupJoined, slog.Uint64("group", group), slog.Uint64("folder", n.store.identity.GetFolder()))
 }
 
 // Meet implements wire.Quorum.
@@ -229,7 +231,7 @@
 		return
 	}
 	if n.proposeGroup(withHost(group, q.GetId(), address, q.GetFolder()), nil) == nil {
-		n.log.Warn("A host comes with a new data folder; it follows without a vote until it has caught up.",
-			"host", q.GetId(), "address", address, "folder", q.GetFolder(), "known", i >= 0)
+		n.note(event.HostRejoined, slog.String("host", q.GetId()), slog.String("address", address),
+			slog.Uint64("folder", q.GetFolder()), slog.Bool("known", i >= 0))
 	}
 }
--- a/lib/quorum/member.go
+++ b/lib/quorum/member.go
@@ -1,10 +1,12 @@
 package quorum
 
 import (
+	"log/slog"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -45,7 +47,7 @@
 		if host.GetVoter() || p == nil || p.match == 0 || p.match+maxLag < n.store.lastIndex() {
 			continue
 		}
-		n.log.Info("A host has caught up and gets its vote.", "host", host.GetId())
+		n.note(event.HostAdmitted, slog.String("host", host.GetId()))
 		_ = n.proposeGroup(withVoter(n.group, host.GetId()), nil)
 		return
 	}
@@ -69,8 +71,8 @@
 			continue
 		}
 		if n.proposeGroup(withoutHost(n.group, host.GetId()), nil) == nil {
-			n.log.Warn("A host stays away and is removed from the group.", "host", host.GetId(), "address", host.GetAddress(),
-				"silentMillis", silent.Milliseconds(), "voter", host.GetVoter(), "reached", reached)
+			n.note(event.HostRemoved, slog.String("host", host.GetId()), slog.String("address", host.GetAddress()),
+				slog.Int64("silentMillis", silent.Milliseconds()), slog.Bool("voter", host.GetVoter()), slog.Int("reached", reached))
 		}
 		return
 	}
--- a/lib/quorum/relay.go
+++ b/lib/quorum/relay.go
@@ -79,7 +79,7 @@
 		r.mu.Lock()
 		r.leader = nil
 		r.mu.Unlock()
-		r.log.Warn("No leader is known.")
+		noteLeader(r.log, "", reasonSilent)
 	}
 }
 
@@ -96,7 +96,7 @@
 		}
 		found = true
 		if r.leader.GetId() != reply.GetId() {
-			r.log.Info("Following a leader.", "leader", reply.GetId(), "address", reply.GetAddress())
+			noteLeader(r.log, reply.GetId(), reasonHeard, slog.String("address", reply.GetAddress()))
 		}
 		r.group = reply.GetGroup()
 		r.leader = &wire.LogHost{Id: reply.GetId(), Address: reply.GetAddress()}
--- a/lib/quorum/replicate.go
+++ b/lib/quorum/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -32,7 +33,7 @@
 }
 
 func (n *Node) becomeLeader(now time.Time) {
-	n.log.Info("Leading the group.", "term", n.store.vote.GetTerm())
+	noteLeader(n.log, n.cfg.ID, reasonElected, slog.Uint64("term", n.store.vote.GetTerm()))
 	n.leading = true
 	n.leader = n.cfg.ID
 	n.progress = map[string]*progress{}
@@ -46,7 +47,7 @@
 // lead is a leader's part of tick.
 func (n *Node) lead(now time.Time) {
 	if !n.reached(now) && now.Sub(n.heardAt) > n.cfg.Timing.Election {
-		n.log.Warn("Giving up leadership: no quorum answers.", "term", n.store.vote.GetTerm())
+		noteLeader(n.log, "", reasonNoQuorum, slog.Uint64("term", n.store.vote.GetTerm()))
 		n.follow(n.store.vote.GetTerm(), "", now)
 		return
 	}
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -217,11 +218,11 @@
 		n.store.setVote(&wire.LogVote{Term: term})
 	}
 	if n.leading {
-		n.log.Info("No longer the leader.", "term", n.store.vote.GetTerm())
+		noteLeader(n.log, leader, reasonDeposed, slog.Uint64("term", term))
 		n.delayCampaign(now)
 	}
 	if leader != n.leader && leader != "" {
-		n.log.Info("Following a leader.", "leader", leader, "term", term)
+		noteLeader(n.log, leader, reasonHeard, slog.Uint64("term", term))
 	}
 	n.leading = false
 	n.leader = leader
