Agents, control hosts and the platform's roles log by the catalogue

Change: lib/lease, platform and the disk of a control host use lib/event; syncs are a histogram and slow ones are logged; joining members are logged. Agents log a launch once, when the run has started (the entry logs what was accepted). lib/event/source_test.go reads the sources: each attribute that a call names is a field of its event, and each event is logged somewhere. Tests: lib/lease, lib/job, lib/control, lib/event with the race detector.

--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -85,6 +85,7 @@
 		DataCentre:  cfg.GetDataCentre(),
 		Rack:        cfg.GetRack(),
 	}
+	log = process.Identify(log, member.GetIncarnation())
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	replica := ledger.New(member.GetIncarnation(), follower, follower, client, log, metrics.Scope())
 	return New(follower, replica, backend.NewRunner(backend.NewClient()), log, metrics)
--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -73,6 +73,9 @@
 		state:  &state{machine: newMachine(), leases: newLeases(leaseOf(cfg))},
 	}
 	c.hosts.Store(&hostList{})
+	if folder != nil {
+		folder = newDisk(folder, log, c.scope)
+	}
 	return c, c.join(folder)
 }
 
--- /dev/null
+++ b/lib/control/disk_test.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/quorum"
+)
+
+// slowFolder takes its time for each sync.
+type slowFolder struct {
+	quorum.Folder
+	takes time.Duration
+}
+
+func (f *slowFolder) Append(string, []byte) error {
+	time.Sleep(f.takes)
+	return nil
+}
+
+func TestSlowSyncIsLogged(t *testing.T) {
+	for _, test := range []struct {
+		takes time.Duration
+		lines int
+	}{{slowSync - 1, 0}, {slowSync, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			scope := tally.NewTestScope("", nil)
+			d := newDisk(&slowFolder{takes: test.takes}, slog.New(slog.NewTextHandler(&out, nil)), scope)
+			is.NoErr(d.Append("log", nil))
+			is.Equal(strings.Count(out.String(), "event=diskSlow tookMillis=200"), test.lines)
+			is.Equal(len(scope.Snapshot().Histograms()), 1)
+		})
+	}
+}
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"runtime/debug"
 
+	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/quorum"
@@ -33,6 +34,7 @@
 
 // Run serves as one control host until ctx ends. It calls ready once it listens.
 func Run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc) error {
+	log = process.Identify(log, membership.NewIncarnation(cfg.GetId()))
 	security, err := process.LoadSecurity(cfg.GetSecurity())
 	if err != nil {
 		return err
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -35,10 +37,25 @@
 		if _, err := c.propose(ctx, joinCommand(q.GetMember())); err != nil {
 			return c.renewElsewhere(err)
 		}
+		c.noteJoined(ctx, q.GetMember())
 	}
 	return &wire.RenewReply{}, nil
 }
 
+// noteJoined logs that a member is in the directory, or has changed there.
+func (c *Control) noteJoined(ctx context.Context, member *wire.Member) {
+	event.MemberJoined.Log(ctx, c.log, slog.String("member", member.GetIncarnation().GetId()),
+		slog.String("peerIncarnation", member.GetIncarnation().Life()), slog.String("role", roleOf(member)),
+		slog.String("address", member.GetAddress()), slog.Bool("leaving", member.GetLeaving()))
+}
+
+func roleOf(member *wire.Member) string {
+	if member.GetRole() == wire.Role_ROLE_ENTRY {
+		return event.PartEntry
+	}
+	return event.PartAgent
+}
+
 // nameHosts tells a member where the group's hosts are, where it knows others.
 func (c *Control) nameHosts(q *wire.RenewRequest, reply *wire.RenewReply) {
 	list := c.hosts.Load()
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -67,6 +67,7 @@
 		DataCentre:  cfg.GetDataCentre(),
 		Rack:        cfg.GetRack(),
 	}
+	log = process.Identify(log, member.GetIncarnation())
 	follower := membership.New(client, cfg.GetControl(), member, log)
 	records := ledger.NewClient(member.GetIncarnation(), follower, client, metrics.Scope())
 	e := New(follower, records, client, limitsOf(cfg), policy, log, metrics)
--- a/lib/event/control.go
+++ b/lib/event/control.go
@@ -27,8 +27,8 @@
 		"A host was added or removed by order.", host, Field{"remove", "whether it was removed"})
 	SeedsSet = ofControl.change("seedsSet", "The seeds were set.",
 		"The settings name other control hosts than before.", Field{"seeds", "addresses of control hosts"})
-	MemberJoined = ofControl.change("memberJoined", "An entry or agent joined.",
-		"The member is in the directory.", member, incarnation, Field{"role", "entry or agent"}, address)
+	MemberJoined = ofControl.change("memberJoined", "An entry or agent joined or changed.",
+		"The member is in the directory, or leaves it in good order.", member, incarnation, Field{"role", "entry or agent"}, address, Field{"leaving", "whether it leaves"})
 	MemberDead = ofControl.warning(Change, "memberDead", "An entry or agent is declared dead.",
 		"The member has not renewed its lease.", member, incarnation)
 	DecisionInDoubt = ofControl.warning(Failure, "decisionInDoubt", "A decision is in doubt.",
@@ -37,6 +37,8 @@
 		"The change is committed and will be in force everywhere.", version, declared, changeID, digest)
 	ConfigRefused = ofControl.warning(Refusal, "configRefused", "A configuration was refused.",
 		"Nothing was changed.", version, declared, changeID, digest, reason, problem)
+	ConfigInDoubt = ofControl.warning(Failure, "configInDoubt", "A configuration is not acknowledged.",
+		"It may or may not be accepted: the group could not tell in time.", declared, changeID, problem)
 	DiskSlow = ofControl.warning(Failure, "diskSlow", "A sync took long.",
 		"The data folder's disk is slow.", Field{"tookMillis", "how long the sync took"})
 )
--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -4,12 +4,14 @@
 
 // What entries log.
 var (
+	RoutesInForce = ofEntry.change("routesInForce", "Routes are in force.",
+		"From now on callers' requests are led by this configuration.", version)
 	JobReceived = ofEntry.success("jobReceived", "A job came in.",
 		"A caller's job was read and will be answered by this entry.",
 		job, service, kind, Field{"tasks", "tasks of the job"}, Field{"idealMillis", "expected time at a good worker"}, due, deadline, queue)
 	JobPlaced = ofEntry.success("jobPlaced", "Tasks were sent to a worker.",
 		"The entry chose the worker by the agent's last word on it, and the agent has accepted the runs.",
-		job, Field{"runs", "the runs, TASK/ATTEMPT each"}, worker, agent, Field{"freeCpuMillis", "free processor by the agent's word, in thousandths of a core"}, Field{"factor", "learned time of tasks at the worker, as a multiple of the usual one"},
+		job, Field{"runs", "the runs, TASK/ATTEMPT each"}, worker, agent, freeCPU, Field{"factor", "learned time of tasks at the worker, as a multiple of the usual one"},
 		age, Field{"wordVersion", "version of the agent's word"}, waited, queue)
 	RunRetried = ofEntry.failure("runRetried", "A task is to be placed again.",
 		"A run was lost, stopped or failed, and the task goes on elsewhere. Only failed runs count as attempts.",
@@ -28,13 +30,13 @@
 		job, service, started, ended, answered, due, queue)
 	JobFailed = ofEntry.failure("jobFailed", "A job failed.",
 		"A task failed as often as it may, can't be run, or the job was given up after its start; the caller has its answer.",
-		job, service, reason, tasksLeft, Field{"running", "runs that are being stopped"}, Field{"maxAttempts", "failed runs that a task may have"}, started, answered, due, queue, known, roomy, age)
+		job, service, reason, tasksLeft, running, Field{"maxAttempts", "failed runs that a task may have"}, started, answered, due, queue, known, roomy, age)
 	JobRefused = ofEntry.refusal("jobRefused", "A job was refused and not run.",
 		"No task of the job was or will be started; the caller may come back.",
-		job, service, reason, retryAfter, started, answered, due, tasksLeft, Field{"running", "runs that are being stopped"}, queue, known, roomy, age)
+		job, service, reason, retryAfter, started, answered, due, tasksLeft, running, queue, known, roomy, age)
 	JobAbandoned = ofEntry.failure("jobAbandoned", "A job was given up.",
 		"The caller left, its deadline passed or the entry must end; all runs of the job are being stopped.",
-		job, service, reason, tasksLeft, Field{"running", "runs that are being stopped"}, started, answered, due, queue, known, roomy, age)
+		job, service, reason, tasksLeft, running, started, answered, due, queue, known, roomy, age)
 	LaunchUnanswered = ofEntry.warning(Failure, "launchUnanswered", "A launch got no answer.",
 		"Its runs are halted: they may have started.", job, Field{"runs", "the runs, TASK/ATTEMPT each"}, agent, worker, problem)
 	HaltUnanswered = ofEntry.warning(Failure, "haltUnanswered", "An order to halt got no answer.",
@@ -54,11 +56,11 @@
 		"The entry calls it no more; no run of this entry is left there.", agent)
 	AgentLost = ofEntry.warning(Change, "agentLost", "An agent does not answer.",
 		"It gets no launches; runs there are waited for until they are surely gone.",
-		agent, worker, silence, Field{"running", "runs of this entry there"}, Field{"goneMillis", "until the runs there are surely gone"})
+		agent, worker, silence, running, Field{"goneMillis", "until the runs there are surely gone"})
 	AgentRegained = ofEntry.change("agentRegained", "An agent answers.",
 		"A Watch was answered after a silence, or for the first time.",
 		agent, worker, silence)
 	AgentRestarted = ofEntry.warning(Change, "agentRestarted", "An agent has restarted.",
 		"Another incarnation answers; the runs under the last one are waited for until it says that they are gone.",
-		agent, incarnation, Field{"running", "runs of this entry under the last one"})
+		agent, incarnation, running)
 )
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -10,13 +10,15 @@
 		"The settings were read and the process listens.",
 		Field{"version", "version of the program"}, address, Field{"dataCentre", "data centre"}, Field{"rack", "rack"}, Field{"announce", "address for announcements"}, Field{"metrics", "address of the metrics page"})
 	Stopping = ofAll.change("stopping", "The process is leaving.",
-		"It takes nothing new and finishes what is in flight.", reason, Field{"inFlight", "requests or runs in flight"})
+		"It takes nothing new and finishes what is in flight.", reason, Field{"inFlight", "requests or runs in flight"}, Field{"graceMillis", "how long it has"})
+	CutOff = ofAll.warning(Failure, "cutOff", "Work was cut off.",
+		"The time to leave was not enough for what was in flight.", problem)
 	Stopped = ofAll.change("stopped", "The process has stopped.",
-		"The last line of a process that ended in good order.", reason, Field{"leftOver", "requests or runs that were cut off"})
+		"The last line of a process that ended in good order.", reason)
 	Failed = ofAll.add(Failure, slog.LevelError, "processFailed", "The process failed.",
 		"The last line of a process that ended with exit code 1.", problem)
 	Reloaded = ofAll.change("reloaded", "The settings were read again.",
-		"A SIGHUP came.", Field{"changed", "names of the fields that changed"}, problem)
+		"The settings file has changed.", Field{"used", "whether they are used"}, Field{"seeds", "addresses of control hosts"}, problem)
 	ConfigInForce = ofAll.change("configInForce", "A configuration is in force.",
 		"From now on the process decides by it.", version, Field{"before", "version that it replaces"})
 	DeclaredDead = ofAll.add(Change, slog.LevelError, "declaredDead", "The control group has declared this process dead.",
--- /dev/null
+++ b/lib/event/source_test.go
@@ -0,0 +1,125 @@
+package event
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// source is the root of the sources that log.
+const source = "../.."
+
+// TestSourcesKeepToCatalogue looks at each call that names an event: the
+// attributes that it names must be fields of the event. Each event must be
+// logged somewhere.
+func TestSourcesKeepToCatalogue(t *testing.T) {
+	is := is.New(t)
+	used := map[*Event]bool{}
+	err := filepath.WalkDir(source, func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files := token.NewFileSet()
+		file, err := parser.ParseFile(files, path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.CallExpr:
+				checkCall(t, files, n)
+			case *ast.SelectorExpr:
+				if e := named(n); e != nil && logs(path) {
+					used[e] = true
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	is.NoErr(err)
+	for _, e := range All() {
+		if !used[e] {
+			t.Errorf("nothing logs %s", e.Name())
+		}
+	}
+}
+
+// logs tells whether the file is one of a part that logs; the others read logs.
+func logs(path string) bool { return !strings.Contains(path, "/internal/story/") }
+
+// checkCall checks one call if it is about an event.
+func checkCall(t *testing.T, files *token.FileSet, call *ast.CallExpr) {
+	e := eventOf(call)
+	if e == nil {
+		return
+	}
+	for _, arg := range call.Args {
+		ast.Inspect(arg, func(n ast.Node) bool {
+			attr, ok := n.(*ast.CallExpr)
+			if !ok || len(attr.Args) != 2 {
+				return true
+			}
+			if key := keyOf(attr); key != "" && !hasField(e, key) {
+				t.Errorf("%s: %s has no field %q", files.Position(attr.Pos()), e.Name(), key)
+			}
+			return true
+		})
+	}
+}
+
+// eventOf returns the event that a call logs: event.Name.Log(...), or a helper
+// with event.Name among its arguments.
+func eventOf(call *ast.CallExpr) *Event {
+	if f, ok := call.Fun.(*ast.SelectorExpr); ok && f.Sel.Name == "Log" {
+		if e := named(f.X); e != nil {
+			return e
+		}
+	}
+	for _, arg := range call.Args {
+		if e := named(arg); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// named returns the event that an expression event.Name stands for.
+func named(x ast.Expr) *Event {
+	s, ok := x.(*ast.SelectorExpr)
+	if !ok {
+		return nil
+	}
+	if p, ok := s.X.(*ast.Ident); !ok || p.Name != "event" {
+		return nil
+	}
+	if s.Sel.Name == "Failed" {
+		return Failed
+	}
+	return Lookup(strings.ToLower(s.Sel.Name[:1]) + s.Sel.Name[1:])
+}
+
+// keyOf returns the key of a call such as slog.Int("key", n).
+func keyOf(attr *ast.CallExpr) string {
+	key, ok := attr.Args[0].(*ast.BasicLit)
+	if !ok || key.Kind != token.STRING {
+		return ""
+	}
+	text, err := strconv.Unquote(key.Value)
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
+func hasField(e *Event, key string) bool {
+	return slices.ContainsFunc(append(slices.Clone(CommonFields), e.Fields()...), func(f Field) bool { return f.Name == key })
+}
--- a/lib/job/note.go
+++ b/lib/job/note.go
@@ -22,6 +22,14 @@
 	return slog.Int64(key, value.Milliseconds())
 }
 
+// word returns an attribute, and none where the value is empty.
+func word(key, value string) slog.Attr {
+	if value == "" {
+		return slog.Attr{}
+	}
+	return slog.String(key, value)
+}
+
 // name returns the run as TASK/ATTEMPT.
 func (r *run) name() string {
 	return r.task.name + "/" + strconv.FormatUint(uint64(r.attempt), 10)
@@ -83,7 +91,7 @@
 		e = event.RunRefused
 	}
 	d.note(e, slog.String("job", r.work.ID), slog.String("task", r.task.name), slog.Uint64("attempt", uint64(r.attempt)),
-		slog.String("worker", r.worker), slog.String("reason", cause), slog.String("detail", reason),
+		slog.String("worker", r.worker), slog.String("reason", cause), word("detail", reason),
 		slog.Uint64("failed", uint64(r.task.failed)), slog.Uint64("maxAttempts", uint64(r.work.Kind.GetMaxAttempts())),
 		millis("ranMillis", now-r.sentAt))
 }
@@ -94,7 +102,7 @@
 		return
 	}
 	d.note(event.RunEnded, slog.String("job", r.work.ID), slog.String("task", r.task.name), slog.Uint64("attempt", uint64(r.attempt)),
-		slog.String("worker", r.worker), slog.String("how", end.GetHow().Word()), slog.String("reason", end.GetReason()),
+		slog.String("worker", r.worker), slog.String("how", end.GetHow().Word()), word("reason", end.GetReason()),
 		slog.Int64("runMillis", end.GetRunMillis()))
 }
 
@@ -189,13 +197,13 @@
 }
 
 // noteWord logs a change in what the worker is and does.
-func (l *link) noteWord(word *wire.WorkerState) {
-	if l.word.GetId() == word.GetId() && l.word.GetAccepting() == word.GetAccepting() && l.word.GetReason() == word.GetReason() {
+func (l *link) noteWord(state *wire.WorkerState) {
+	if l.word.GetId() == state.GetId() && l.word.GetAccepting() == state.GetAccepting() && l.word.GetReason() == state.GetReason() {
 		return
 	}
-	l.d.note(event.WorkerWord, slog.String("worker", word.GetId()), slog.String("agent", l.member.GetIncarnation().GetId()),
-		slog.String("service", word.GetService()), slog.Bool("accepting", word.GetAccepting()), slog.String("reason", word.GetReason()),
-		slog.Uint64("wordVersion", word.GetVersion()))
+	l.d.note(event.WorkerWord, slog.String("worker", state.GetId()), slog.String("agent", l.member.GetIncarnation().GetId()),
+		slog.String("service", state.GetService()), slog.Bool("accepting", state.GetAccepting()), word("reason", state.GetReason()),
+		slog.Uint64("wordVersion", state.GetVersion()))
 }
 
 // noteLost logs the first look at which the agent is silent.
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -111,7 +112,7 @@
 	k.mu.Lock()
 	k.leaving = true
 	k.changed()
-	k.log.Info("shutting down", "runs", k.left())
+	k.note(event.Stopping, why("keeper"), slog.Int("inFlight", k.left()))
 	k.mu.Unlock()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -137,7 +139,7 @@
 	case a.Refusal == RefusedLate && !r.unanswered:
 		return true
 	}
-	k.log.Info("start refused", r.attrs(), "reason", string(a.Refusal), "free", l.free().CPUMillis)
+	k.noteRun(event.OrderRefused, r, slog.String("what", orderStart), why(string(a.Refusal)), freeOf(l.free().CPUMillis))
 	k.drop(r, string(a.Refusal))
 	return false
 }
@@ -147,7 +149,7 @@
 	r.unanswered = true
 	k.fence.pass()
 	r.life.ask()
-	k.log.Info("start not answered", r.attrs(), "tries", tries, "err", err)
+	k.noteRun(event.OrderUnanswered, r, slog.String("what", orderStart), slog.Int("tries", tries), slog.Any("error", err))
 	if r.phase != starting {
 		return false
 	}
@@ -171,7 +173,7 @@
 	r.phase = running
 	r.startedAt = k.steady()
 	k.metrics.toStart.RecordDuration(r.startedAt - r.acceptedAt)
-	k.log.Info("run started", r.attrs(), "ageMillis", (r.startedAt - r.acceptedAt).Milliseconds())
+	k.noteRun(event.RunStarted, r, freeOf(r.life.free().CPUMillis), millis("tookMillis", r.startedAt-r.acceptedAt))
 }
 
 // barRun takes in that the run can't start any more; a later hold tells
@@ -203,7 +205,7 @@
 func (k *Keeper) raiseFence(refused uint64) {
 	if k.fence.raise(refused) {
 		k.metrics.count("retries", "fence")
-		k.log.Warn("fence raised", "refused", refused, "fence", k.fence.number)
+		k.note(event.FenceRaised, slog.Uint64("fence", k.fence.number), slog.Uint64("refused", refused))
 	}
 }
 
@@ -213,7 +215,7 @@
 		return
 	}
 	l.refused = true
-	k.log.Warn("worker answers for another life", "worker", l.name, "runs", len(l.active))
+	k.noteLife(event.WorkerNewLife, l, runsOf(len(l.active)), why("anotherLife"))
 	if a := k.doubted; a != nil && l == k.life && k.replaces(*a) {
 		k.replace(*a)
 	}
--- a/lib/lease/stop.go
+++ b/lib/lease/stop.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
+
+	"skylarklane.example/lib/event"
 )
 
 // stopper stops one run at the worker, until that is acknowledged or the run's
@@ -70,7 +73,7 @@
 	if err != nil {
 		k.fence.pass()
 		k.metrics.count("retries", "stopUnanswered")
-		k.log.Info("stop not answered", "task", q.Task, "number", q.Run, "worker", l.name, "err", err)
+		k.noteOrder(event.OrderUnanswered, l, q.Task, q.Run, slog.String("what", orderStop), slog.Any("error", err))
 		return false
 	}
 	l.readClock(a.ClockMillis, k.steady())
@@ -83,7 +86,7 @@
 		k.refuseLife(l)
 	default:
 		k.metrics.count("retries", "stopRefused")
-		k.log.Warn("stop refused", "task", q.Task, "number", q.Run, "worker", l.name, "reason", string(a.Refusal))
+		k.noteOrder(event.OrderRefused, l, q.Task, q.Run, slog.String("what", orderStop), why(string(a.Refusal)))
 	}
 	return false
 }
--- a/lib/lease/stray.go
+++ b/lib/lease/stray.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"skylarklane.example/lib/event"
+)
 
 // stray is a run at the worker that belongs to no entry here: this agent's
 // earlier incarnation started it, or it was given up as lost.
@@ -22,7 +26,7 @@
 	s := &stray{k: k, l: l, at: at}
 	l.strays[at] = s
 	k.metrics.count("stops", "unknown")
-	k.log.Info("unknown run is stopped", "task", at.Task, "number", at.Run, "worker", l.name)
+	k.noteOrder(event.StrayStopped, l, at.Task, at.Run)
 	if l.ctx != nil {
 		k.spawn(s.run)
 	}
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -60,7 +61,7 @@
 	}
 	if !s.alive && s.until > now {
 		s.alive = true
-		k.log.Info("session begins", "entry", s.entry.GetId(), "number", s.entry.GetNumber())
+		k.noteSession(event.SessionStarted, s)
 	}
 	if known {
 		s.seen(q.GetEndsSeen(), now)
