--- a/lib/event/field.go
+++ b/lib/event/field.go
@@ -28,12 +28,15 @@
 	kind        = Field{"kind", "kind of the job"}
 	entry       = Field{"entry", "id of the entry"}
 	agent       = Field{"agent", "id of the agent"}
-	worker      = Field{"worker", "one life of a worker: its id and start"}
+	worker      = Field{"worker", "id of the worker, and where an entry tells it also of its life"}
 	host        = Field{"host", "id of the control host"}
 	member      = Field{"member", "id of the entry or agent"}
 	reason      = Field{"reason", "a word in camelCase"}
 	how         = Field{"how", "how the run ended: done, failed, stopped, lost or notStarted"}
 	queue       = Field{"queue", "tasks that wait at the process"}
+	life        = Field{"life", "which start of the worker"}
+	free        = Field{"free", "capacity that is free at the worker: processor, memory, accelerators"}
+	need        = Field{"need", "capacity that the task asks for"}
 	freeCPU     = Field{"freeCpuMillis", "free processor at the worker, in thousandths of a core"}
 	running     = Field{"running", "runs concerned"}
 	fence       = Field{"fence", "the fencing token"}
--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"slices"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -15,7 +13,7 @@
 func (k *Keeper) Announce(a Announcement) error {
 	if err := a.check(); err != nil {
 		k.metrics.count("announcements", "malformed")
-		k.note(event.AnnouncementRefused, slog.String("worker", a.ID), why("malformed"), slog.Any("error", err))
+		k.log.Warn("announcement refused", "worker", a.ID, "err", err)
 		return err
 	}
 	k.mu.Lock()
@@ -32,7 +30,7 @@
 		k.doubted = &a
 		k.life.ask()
 		k.metrics.count("announcements", "late")
-		k.note(event.AnnouncementRefused, slog.String("worker", a.LifeName()), why("earlierLife"), slog.String("current", k.life.name))
+		k.log.Info("announcement of an earlier life ignored", "worker", a.LifeName(), "current", k.life.name)
 	}
 	k.changed()
 	return nil
@@ -46,7 +44,7 @@
 		return
 	}
 	k.life.left = true
-	k.noteLife(event.WorkerDraining, k.life, why("left"), slog.Bool("draining", true), runsOf(k.left()))
+	k.log.Info("worker leaves", "worker", k.life.name, "runs", k.left())
 	k.changed()
 }
 
@@ -68,7 +66,7 @@
 		l.worker = k.dial(a)
 	}
 	if a.Draining != l.said.Draining {
-		k.noteLife(event.WorkerDraining, l, why("announced"), slog.Bool("draining", a.Draining), runsOf(k.left()))
+		k.log.Info("worker drains", "worker", l.name, "draining", a.Draining, "runs", k.left())
 	}
 	l.said = a
 	l.left = false
@@ -80,7 +78,7 @@
 	l := newLife(a, k.dial(a), k.steady())
 	k.life = l
 	k.doubted = nil
-	k.noteLife(event.WorkerCame, l, slog.String("service", a.Service), slog.String("address", a.Address))
+	k.log.Info("worker announced", "worker", l.name, "service", a.Service, "address", a.Address)
 	if k.ctx != nil {
 		k.keep(l)
 	}
@@ -98,7 +96,7 @@
 		old.cancel()
 	}
 	k.adopt(a)
-	k.noteLife(event.WorkerNewLife, k.life, slog.String("former", old.name), runsOf(len(old.active)), why("announced"))
+	k.log.Info("worker replaced", "worker", k.life.name, "former", old.name, "runs", len(old.active))
 	k.loseUnsent(old, "workerReplaced")
 	switch {
 	case a.ID == old.said.ID:
--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -1,9 +1,5 @@
 package lease
 
-import (
-	"skylarklane.example/lib/event"
-)
-
 // expire ends the sessions whose time is over. Each decision comes after it, so
 // that a process that was suspended finds out before it acts.
 func (k *Keeper) expire() {
@@ -32,7 +28,8 @@
 			n += k.haltOf(s, r, reason)
 		}
 	}
-	k.noteSession(event.SessionEnded, s, why(reason), runsOf(n), millis("silentMillis", now-s.until+k.cfg.Session))
+	k.log.Info("session ends", "entry", s.entry.GetId(), "number", s.entry.GetNumber(),
+		"reason", reason, "runs", n, "ageMillis", (now-s.until).Milliseconds()+k.cfg.Session.Milliseconds())
 }
 
 func (k *Keeper) haltOf(s *session, r *run, reason string) int {
@@ -47,7 +44,8 @@
 func (k *Keeper) lapse() {
 	now := k.steady()
 	if l := k.life; l != nil && k.silent(l) && now > l.leaseUntil && len(l.active)+len(l.waiting) > 0 {
-		k.noteLife(event.WorkerSilent, l, millis("silentMillis", now-l.repliedAt), runsOf(len(l.active)))
+		k.log.Warn("worker silent, its runs are lost", "worker", l.name, "runs", len(l.active),
+			"ageMillis", (now - l.repliedAt).Milliseconds())
 		k.lose(l, "workerSilent")
 	}
 	kept := k.retired[:0]
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -57,8 +55,7 @@
 	rec.seenAt = 0
 	k.lastEnd++
 	s.addEnd(k.lastEnd, key, wire.RunHow_RUN_HOW_NOT_STARTED, rec.reason, 0)
-	k.note(event.RunBarred, jobOf(key.task), slog.String("task", key.task), slog.Uint64("attempt", uint64(key.attempt)),
-		slog.String("entry", s.entry.GetId()), why(rec.reason))
+	k.log.Info("run barred", "task", key.task, "attempt", key.attempt, "entry", s.entry.GetId(), "reason", rec.reason)
 }
 
 // halt has a run end. Its lease lasts to limit at most, a reading of the
@@ -72,7 +69,7 @@
 		r.reason = reason
 		r.limit = limit
 		k.metrics.count("stops", reason)
-		k.noteRun(event.RunStopped, r, why(reason), millis("ranMillis", k.steady()-r.acceptedAt))
+		k.log.Info("run is stopped", r.attrs(), "reason", reason, "ageMillis", (k.steady() - r.acceptedAt).Milliseconds())
 		s := &stopper{k, r}
 		k.spawn(s.run)
 	case stopping:
@@ -102,7 +99,7 @@
 	k.lastEnd++
 	r.session.addEnd(k.lastEnd, r.key, how, reason, ran)
 	k.metrics.count("ends", orDone(reason))
-	k.noteRun(event.RunFinished, r, slog.String("how", how.Word()), why(reason), millis("ranMillis", ran))
+	k.log.Info("run ended", r.attrs(), "how", how, "reason", reason, "ranMillis", ran.Milliseconds())
 	if l.waiting[task] == r {
 		delete(l.waiting, task)
 		return
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"skylarklane.example/lib/event"
 )
 
 // poller holds the lease of a life by one long poll after the other.
@@ -132,7 +130,7 @@
 	now := k.steady()
 	l.readClock(report.ClockMillis, now)
 	if k.silent(l) {
-		k.noteLife(event.WorkerRegained, l, millis("silentMillis", now-l.repliedAt))
+		k.log.Info("worker answers again", "worker", l.name, "ageMillis", (now - l.repliedAt).Milliseconds())
 	}
 	l.repliedAt = now
 	l.heldAt = max(l.heldAt, sent)
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -112,7 +111,7 @@
 	k.mu.Lock()
 	k.leaving = true
 	k.changed()
-	k.note(event.Stopping, why("keeper"), slog.Int("inFlight", k.left()))
+	k.log.Info("shutting down", "runs", k.left())
 	k.mu.Unlock()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -100,7 +100,9 @@
 
 // refuse keeps the refusal until a copy of the launch would come too late.
 func (k *Keeper) refuse(s *session, q *wire.LaunchRequest, key runKey, reason string) {
-	k.noteRefused(q, key, reason)
+	k.log.Info("launch refused", "task", key.task, "attempt", key.attempt, "entry", q.GetEntry().GetId(),
+		"worker", q.GetWorker(), "reason", reason, "free", k.board.state.GetFree().GetCpuMillis(),
+		"leftMillis", q.GetNotAfterMillis()-k.nowMillis())
 	if s == nil || !s.alive {
 		return
 	}
@@ -134,6 +136,7 @@
 func (k *Keeper) accept(r *run) {
 	l := r.life
 	task := r.key.task
+	k.log.Info("launch accepted", r.attrs(), "free", l.free().Minus(r.need).CPUMillis, "runs", k.left()+1)
 	former := l.active[task]
 	if former == nil {
 		l.active[task] = r
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -2,11 +2,9 @@
 
 import (
 	"cmp"
-	"log/slog"
 	"slices"
 	"time"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -77,7 +75,7 @@
 	}
 	if len(l.strays) == 0 && !l.cleared {
 		l.cleared = true
-		k.noteLife(event.Cleared, l, slog.Uint64("fence", k.fence.number))
+		k.log.Info("worker cleared", "worker", l.name, "fence", k.fence.number)
 	}
 }
 
@@ -99,7 +97,7 @@
 func (k *Keeper) takeAbsent(r *run, sent time.Duration) {
 	switch {
 	case r.phase == running, r.phase == stopping && r.known, r.phase == barred && r.known:
-		k.noteRun(event.RunMissing, r)
+		k.log.Warn("run is missing at its worker", r.attrs())
 		k.end(r, wire.RunHow_RUN_HOW_LOST, "missing")
 	case r.phase == barred:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
@@ -76,3 +77,12 @@
 	}
 	return bound
 }
+
+func (r *run) attrs() slog.Attr {
+	return slog.Group("run",
+		"task", r.key.task,
+		"attempt", r.key.attempt,
+		"number", r.number,
+		"entry", r.session.entry.GetId(),
+		"worker", r.life.name)
+}
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -139,7 +137,7 @@
 	case a.Refusal == RefusedLate && !r.unanswered:
 		return true
 	}
-	k.noteRun(event.OrderRefused, r, slog.String("what", orderStart), why(string(a.Refusal)), freeOf(l.free().CPUMillis))
+	k.log.Info("start refused", r.attrs(), "reason", string(a.Refusal), "free", l.free().CPUMillis)
 	k.drop(r, string(a.Refusal))
 	return false
 }
@@ -149,7 +147,7 @@
 	r.unanswered = true
 	k.fence.pass()
 	r.life.ask()
-	k.noteRun(event.OrderUnanswered, r, slog.String("what", orderStart), slog.Int("tries", tries), slog.Any("error", err))
+	k.log.Info("start not answered", r.attrs(), "tries", tries, "err", err)
 	if r.phase != starting {
 		return false
 	}
@@ -173,7 +171,7 @@
 	r.phase = running
 	r.startedAt = k.steady()
 	k.metrics.toStart.RecordDuration(r.startedAt - r.acceptedAt)
-	k.noteRun(event.RunStarted, r, freeOf(r.life.free().CPUMillis), millis("tookMillis", r.startedAt-r.acceptedAt))
+	k.log.Info("run started", r.attrs(), "ageMillis", (r.startedAt - r.acceptedAt).Milliseconds())
 }
 
 // barRun takes in that the run can't start any more; a later hold tells
@@ -205,7 +203,7 @@
 func (k *Keeper) raiseFence(refused uint64) {
 	if k.fence.raise(refused) {
 		k.metrics.count("retries", "fence")
-		k.note(event.FenceRaised, slog.Uint64("fence", k.fence.number), slog.Uint64("refused", refused))
+		k.log.Warn("fence raised", "refused", refused, "fence", k.fence.number)
 	}
 }
 
@@ -215,7 +213,7 @@
 		return
 	}
 	l.refused = true
-	k.noteLife(event.WorkerNewLife, l, runsOf(len(l.active)), why("anotherLife"))
+	k.log.Warn("worker answers for another life", "worker", l.name, "runs", len(l.active))
 	if a := k.doubted; a != nil && l == k.life && k.replaces(*a) {
 		k.replace(*a)
 	}
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -1,12 +1,10 @@
 package lease
 
 import (
-	"log/slog"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -31,8 +29,8 @@
 		return
 	}
 	if next.GetAccepting() != k.board.state.GetAccepting() || next.GetReason() != k.board.state.GetReason() {
-		k.note(event.WorkerState, slog.String("worker", next.GetId()), slog.Bool("accepting", next.GetAccepting()),
-			why(next.GetReason()), freeOf(next.GetFree().GetCpuMillis()))
+		k.log.Info("worker state", "worker", next.GetId(), "accepting", next.GetAccepting(),
+			"reason", next.GetReason(), "free", next.GetFree().GetCpuMillis())
 	}
 	sudden := next.GetAccepting() != k.board.state.GetAccepting()
 	next.Version++
--- a/lib/lease/stop.go
+++ b/lib/lease/stop.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
-
-	"skylarklane.example/lib/event"
 )
 
 // stopper stops one run at the worker, until that is acknowledged or the run's
@@ -73,7 +70,7 @@
 	if err != nil {
 		k.fence.pass()
 		k.metrics.count("retries", "stopUnanswered")
-		k.noteOrder(event.OrderUnanswered, l, q.Task, q.Run, slog.String("what", orderStop), slog.Any("error", err))
+		k.log.Info("stop not answered", "task", q.Task, "number", q.Run, "worker", l.name, "err", err)
 		return false
 	}
 	l.readClock(a.ClockMillis, k.steady())
@@ -86,7 +83,7 @@
 		k.refuseLife(l)
 	default:
 		k.metrics.count("retries", "stopRefused")
-		k.noteOrder(event.OrderRefused, l, q.Task, q.Run, slog.String("what", orderStop), why(string(a.Refusal)))
+		k.log.Warn("stop refused", "task", q.Task, "number", q.Run, "worker", l.name, "reason", string(a.Refusal))
 	}
 	return false
 }
--- a/lib/lease/stray.go
+++ b/lib/lease/stray.go
@@ -1,10 +1,6 @@
 package lease
 
-import (
-	"time"
-
-	"skylarklane.example/lib/event"
-)
+import "time"
 
 // stray is a run at the worker that belongs to no entry here: this agent's
 // earlier incarnation started it, or it was given up as lost.
@@ -26,7 +22,7 @@
 	s := &stray{k: k, l: l, at: at}
 	l.strays[at] = s
 	k.metrics.count("stops", "unknown")
-	k.noteOrder(event.StrayStopped, l, at.Task, at.Run)
+	k.log.Info("unknown run is stopped", "task", at.Task, "number", at.Run, "worker", l.name)
 	if l.ctx != nil {
 		k.spawn(s.run)
 	}
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -7,7 +7,6 @@
 
 	"github.com/twitchtv/twirp"
 
-	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -61,7 +60,7 @@
 	}
 	if !s.alive && s.until > now {
 		s.alive = true
-		k.noteSession(event.SessionStarted, s)
+		k.log.Info("session begins", "entry", s.entry.GetId(), "number", s.entry.GetNumber())
 	}
 	if known {
 		s.seen(q.GetEndsSeen(), now)
