--- a/lib/event/field.go
+++ b/lib/event/field.go
@@ -39,7 +39,6 @@
 	need        = Field{"need", "capacity that the task asks for"}
 	freeCPU     = Field{"freeCpuMillis", "free processor at the worker, in thousandths of a core"}
 	running     = Field{"running", "runs concerned"}
-	fence       = Field{"fence", "the fencing token"}
 	age         = Field{"ageMillis", "age of the input that decided"}
 	runTime     = Field{"runMillis", "how long the run took"}
 	ran         = Field{"ranMillis", "since the run was sent or started"}
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -31,6 +31,8 @@
 		select {
 		case <-earlier.settled:
 		case <-ctx.Done():
+			d.mu.Lock()
+			defer d.mu.Unlock()
 			return nil, d.refuse(j, reasonCallerLeft)
 		}
 	}
@@ -95,12 +97,12 @@
 			b.Ahead += other.size()
 		}
 	}
-	if w.hopeless(b, now) {
+	if w.hopeless(b, d.delays[w.delayKey()].value(now), now) {
 		d.giveUp(w, reasonHopeless)
 	}
 }
 
-// refuse is the outcome of a job that was never taken in hand.
+// refuse is the outcome of a job that was never taken in hand. The lock is held.
 func (d *Desk) refuse(j Job, reason string) Outcome {
 	d.metrics.refusal(reason)
 	d.noteRefused(j, reason)
--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -59,7 +59,12 @@
 }
 
 // giveUp ends a job that will not be worth anything.
-func (d *Desk) giveUp(w *work, reason string) { d.finish(w, d.stopped(w, reason)) }
+func (d *Desk) giveUp(w *work, reason string) {
+	if w.startedAt == 0 {
+		d.noteDelay(w, d.clock.Now())
+	}
+	d.finish(w, d.stopped(w, reason))
+}
 
 // untouched tells whether no task of the job has run or may still start.
 func (w *work) untouched() bool { return w.ran == 0 && w.live == 0 }
