Leases bounded for each session; a successor under the same id; the event catalogue

Change: launches are refused (sessionShort) while the lease given lasts longer than their session allows; runs of a silent worker are lost only after the most that a worker grants; a report with another birth has its life taken over, its runs stopped, and new ones refused until it announces itself. Log lines are the events of lib/event, counters those of lib/metric. Ruled out: refusing on the lease's plain age (an entry that watches each 150 ms would be refused after any lost watch).

--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -12,8 +14,8 @@
 // no more starts.
 func (k *Keeper) Announce(a Announcement) error {
 	if err := a.check(); err != nil {
-		k.metrics.count("announcements", "malformed")
-		k.log.Warn("announcement refused", "worker", a.ID, "err", err)
+		k.metrics.announcements.Inc("malformed")
+		k.tell(event.AnnouncementRefused, slog.String("worker", a.ID), reasonAttr("malformed"), slog.String("error", err.Error()))
 		return err
 	}
 	k.mu.Lock()
@@ -29,8 +31,8 @@
 	default:
 		k.doubted = &a
 		k.life.ask()
-		k.metrics.count("announcements", "late")
-		k.log.Info("announcement of an earlier life ignored", "worker", a.LifeName(), "current", k.life.name)
+		k.metrics.announcements.Inc("formerLife")
+		k.tell(event.AnnouncementRefused, slog.String("worker", a.ID), slog.Int64("life", a.Born), reasonAttr("formerLife"))
 	}
 	k.changed()
 	return nil
@@ -44,7 +46,6 @@
 		return
 	}
 	k.life.left = true
-	k.log.Info("worker leaves", "worker", k.life.name, "runs", k.left())
 	k.changed()
 }
 
@@ -59,17 +60,15 @@
 
 func (k *Keeper) update(l *life, a Announcement) {
 	if a.Sequence <= l.said.Sequence {
-		k.metrics.count("announcements", "late")
+		k.metrics.announcements.Inc("late")
 		return
 	}
 	if a.Address != l.said.Address {
 		l.worker = k.dial(a)
 	}
-	if a.Draining != l.said.Draining {
-		k.log.Info("worker drains", "worker", l.name, "draining", a.Draining, "runs", k.left())
-	}
 	l.said = a
 	l.left = false
+	l.unannounced = false
 	l.refused = false
 	l.readClock(a.ClockMillis, k.steady())
 }
@@ -78,7 +77,8 @@
 	l := newLife(a, k.dial(a), k.steady())
 	k.life = l
 	k.doubted = nil
-	k.log.Info("worker announced", "worker", l.name, "service", a.Service, "address", a.Address)
+	k.tellLife(event.WorkerCame, l, slog.String("service", a.Service), slog.String("address", a.Address),
+		amountAttr("free", a.capacity()), slog.Any("labels", a.Labels))
 	if k.ctx != nil {
 		k.keep(l)
 	}
@@ -96,7 +96,7 @@
 		old.cancel()
 	}
 	k.adopt(a)
-	k.log.Info("worker replaced", "worker", k.life.name, "former", old.name, "runs", len(old.active))
+	k.tellLife(event.WorkerNewLife, k.life, slog.Int("lost", len(old.active)))
 	k.loseUnsent(old, "workerReplaced")
 	switch {
 	case a.ID == old.said.ID:
@@ -112,7 +112,6 @@
 // can't tell apart orders for the two. The runs are lost once it is cleared.
 func (k *Keeper) inherit(old *life) {
 	old.heir = k.life
-	old.leaseUntil = max(old.leaseUntil, k.steady()+scaled(k.cfg.LeaseMax))
 	k.retired = append(k.retired, old)
 	for _, r := range old.active {
 		if r.atWorker() {
@@ -136,6 +135,21 @@
 	}
 }
 
+// discover replaces a life by the one that has answered in its place under the
+// same id. It takes new runs once it has announced what it is.
+func (k *Keeper) discover(l *life, report Report) {
+	a := l.said
+	a.Born = report.Born
+	a.ClockMillis = report.ClockMillis
+	a.Sequence = 0
+	k.refuseLife(l)
+	if l != k.life || slices.Contains(k.dead, a.LifeName()) {
+		return
+	}
+	k.replace(a)
+	k.life.unannounced = true
+}
+
 // lose ends all runs of a life that is surely over.
 func (k *Keeper) lose(l *life, reason string) {
 	k.loseUnsent(l, reason)
--- a/lib/lease/bench_test.go
+++ b/lib/lease/bench_test.go
@@ -61,6 +61,8 @@
 		{Run: &wire.RunId{Task: "a"}, Need: &wire.Resources{CpuMillis: 1000}},
 	}}
 	for b.Loop() {
+		watch.WaitMillis = 0
+		watch.RenewUntilMillis = k.nowMillis() + DefaultSession.Milliseconds()
 		reply, err := k.Watch(ctx, watch)
 		if err != nil {
 			b.Fatal(err)
@@ -72,6 +74,7 @@
 		if err != nil || !launched.GetResults()[0].GetAccepted() {
 			b.Fatal(launched, err)
 		}
+		watch.WaitMillis = 200
 		watch.VersionSeen = launched.GetWorker().GetVersion()
 		for ended := false; !ended; {
 			reply, err := k.Watch(ctx, watch)
--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -1,5 +1,11 @@
 package lease
 
+import (
+	"log/slog"
+
+	"skylarklane.example/lib/event"
+)
+
 // expire ends the sessions whose time is over. Each decision comes after it, so
 // that a process that was suspended finds out before it acts.
 func (k *Keeper) expire() {
@@ -28,8 +34,7 @@
 			n += k.haltOf(s, r, reason)
 		}
 	}
-	k.log.Info("session ends", "entry", s.entry.GetId(), "number", s.entry.GetNumber(),
-		"reason", reason, "runs", n, "ageMillis", (now-s.until).Milliseconds()+k.cfg.Session.Milliseconds())
+	k.tellSession(event.SessionEnded, s, reasonAttr(reason), slog.Int("running", n), millisAttr("silentMillis", now-s.renewedAt))
 }
 
 func (k *Keeper) haltOf(s *session, r *run, reason string) int {
@@ -43,14 +48,12 @@
 // lapse ends the runs that are surely gone with their lease.
 func (k *Keeper) lapse() {
 	now := k.steady()
-	if l := k.life; l != nil && k.silent(l) && now > l.leaseUntil && len(l.active)+len(l.waiting) > 0 {
-		k.log.Warn("worker silent, its runs are lost", "worker", l.name, "runs", len(l.active),
-			"ageMillis", (now - l.repliedAt).Milliseconds())
+	if l := k.life; l != nil && k.silent(l) && now > l.goneAt && len(l.active)+len(l.waiting) > 0 {
 		k.lose(l, "workerSilent")
 	}
 	kept := k.retired[:0]
 	for _, l := range k.retired {
-		if now > l.leaseUntil || l.heir != nil && l.heir.cleared && len(l.heir.strays) == 0 {
+		if now > l.goneAt || l.heir != nil && l.heir.cleared && len(l.heir.strays) == 0 {
 			k.lose(l, "workerReplaced")
 			continue
 		}
@@ -60,6 +63,18 @@
 	k.retired = kept
 }
 
+// hush tells of a worker that has fallen silent.
+func (k *Keeper) hush() {
+	l := k.life
+	if l == nil || l.quiet || !k.silent(l) {
+		return
+	}
+	l.quiet = true
+	now := k.steady()
+	k.tellLife(event.WorkerSilent, l, millisAttr("silentMillis", now-l.repliedAt),
+		slog.Int("running", len(l.active)), millisAttr("leaseLeftMillis", max(l.goneAt-now, 0)))
+}
+
 // forget drops what is too old to matter.
 func (k *Keeper) forget() {
 	now := k.cfg.Clock.Now()
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -1,11 +1,14 @@
 package lease
 
 import (
+	"cmp"
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -55,7 +58,9 @@
 	rec.seenAt = 0
 	k.lastEnd++
 	s.addEnd(k.lastEnd, key, wire.RunHow_RUN_HOW_NOT_STARTED, rec.reason, 0)
-	k.log.Info("run barred", "task", key.task, "attempt", key.attempt, "entry", s.entry.GetId(), "reason", rec.reason)
+	k.metrics.ends.Inc(rec.reason)
+	k.tell(event.RunFinished, slog.String("task", key.task), slog.Uint64("attempt", uint64(key.attempt)),
+		slog.String("entry", s.entry.GetId()), slog.String("how", "notStarted"), reasonAttr(rec.reason))
 }
 
 // halt has a run end. Its lease lasts to limit at most, a reading of the
@@ -68,8 +73,8 @@
 		r.phase = stopping
 		r.reason = reason
 		r.limit = limit
-		k.metrics.count("stops", reason)
-		k.log.Info("run is stopped", r.attrs(), "reason", reason, "ageMillis", (k.steady() - r.acceptedAt).Milliseconds())
+		k.metrics.stops.Inc(reason)
+		k.tellRun(event.RunStopped, r, reasonAttr(reason), millisAttr("ranMillis", r.ran(k.steady())))
 		s := &stopper{k, r}
 		k.spawn(s.run)
 	case stopping:
@@ -86,10 +91,9 @@
 		return
 	}
 	now := k.steady()
-	ran := time.Duration(0)
-	if r.startedAt > 0 {
-		ran = now - r.startedAt
-		k.metrics.toEnd.RecordDuration(ran)
+	ran := r.ran(now)
+	if r.known {
+		k.metrics.lasting.RecordDuration(ran)
 	}
 	r.phase = ended
 	l, task := r.life, r.key.task
@@ -98,8 +102,8 @@
 	}
 	k.lastEnd++
 	r.session.addEnd(k.lastEnd, r.key, how, reason, ran)
-	k.metrics.count("ends", orDone(reason))
-	k.log.Info("run ended", r.attrs(), "how", how, "reason", reason, "ranMillis", ran.Milliseconds())
+	k.metrics.ends.Inc(cmp.Or(reason, "done"))
+	k.tellRun(event.RunFinished, r, slog.String("how", word(how)), reasonAttr(reason), millisAttr("runMillis", ran))
 	if l.waiting[task] == r {
 		delete(l.waiting, task)
 		return
@@ -113,10 +117,3 @@
 	l.active[task] = next
 	k.begin(next)
 }
-
-func orDone(reason string) string {
-	if reason == "" {
-		return "done"
-	}
-	return reason
-}
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"skylarklane.example/lib/event"
 )
 
 // poller holds the lease of a life by one long poll after the other.
@@ -48,7 +50,7 @@
 			p.k.hold(p.l, 0)
 		case <-tick.C:
 			if p.k.isPulseDue(p.l) {
-				p.k.metrics.count("retries", "holdUnanswered")
+				p.k.metrics.retries.Inc("holdLate")
 				p.k.hold(p.l, 0)
 			}
 		}
@@ -113,24 +115,28 @@
 	k.expire()
 	if err != nil {
 		k.fence.pass()
-		k.metrics.count("holds", "unanswered")
+		k.metrics.retries.Inc("holdUnanswered")
 		return false
 	}
 	switch {
 	case report.Refusal == RefusedFence:
 		k.raiseFence(q.Fence)
 		return true
-	case report.Refusal == RefusedLife || report.Born > 0 && report.Born != l.said.Born:
+	case report.Refusal == RefusedLife:
 		k.refuseLife(l)
 		return false
+	case report.Born > 0 && report.Born != l.said.Born:
+		k.discover(l, report)
+		return false
 	case report.Refusal != Accepted:
-		k.metrics.count("holds", string(report.Refusal))
+		k.tellRefused(l, "hold", Running{}, report.Refusal)
 		return false
 	}
 	now := k.steady()
 	l.readClock(report.ClockMillis, now)
-	if k.silent(l) {
-		k.log.Info("worker answers again", "worker", l.name, "ageMillis", (now - l.repliedAt).Milliseconds())
+	if l.quiet {
+		l.quiet = false
+		k.tellLife(event.WorkerRegained, l, millisAttr("silentMillis", now-l.repliedAt))
 	}
 	l.repliedAt = now
 	l.heldAt = max(l.heldAt, sent)
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -98,6 +98,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
+	k.hush()
 	k.lapse()
 	if k.ticks++; k.ticks%forgetTicks == 0 {
 		k.forget()
@@ -111,7 +112,6 @@
 	k.mu.Lock()
 	k.leaving = true
 	k.changed()
-	k.log.Info("shutting down", "runs", k.left())
 	k.mu.Unlock()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -56,6 +58,8 @@
 		return reason
 	}
 	switch {
+	case k.outlasts(k.life, s):
+		return "sessionShort"
 	case q.GetWorker() != k.life.name:
 		return "wrongWorker"
 	case q.GetService() != k.life.said.Service:
@@ -68,13 +72,11 @@
 	key := keyOf(t.GetRun())
 	if s != nil && s.records[key] != nil {
 		rec := s.records[key]
-		k.metrics.count("launches", "repeated")
 		return &wire.LaunchResult{Accepted: rec.accepted, Reason: rec.reason}
 	}
 	if reason == "" {
 		reason = k.refusingOne(s, t)
 	}
-	k.metrics.count("launches", orAccepted(reason))
 	if reason != "" {
 		k.refuse(s, q, key, reason)
 		return &wire.LaunchResult{Reason: reason}
@@ -91,18 +93,22 @@
 	return &wire.LaunchResult{Accepted: true}
 }
 
-func orAccepted(reason string) string {
-	if reason == "" {
-		return "accepted"
-	}
-	return reason
-}
-
 // refuse keeps the refusal until a copy of the launch would come too late.
 func (k *Keeper) refuse(s *session, q *wire.LaunchRequest, key runKey, reason string) {
-	k.log.Info("launch refused", "task", key.task, "attempt", key.attempt, "entry", q.GetEntry().GetId(),
-		"worker", q.GetWorker(), "reason", reason, "free", k.board.state.GetFree().GetCpuMillis(),
-		"leftMillis", q.GetNotAfterMillis()-k.nowMillis())
+	k.metrics.refusals.Inc(reason)
+	attrs := []slog.Attr{
+		slog.String("task", key.task),
+		slog.Uint64("attempt", uint64(key.attempt)),
+		slog.String("entry", q.GetEntry().GetId()),
+		slog.String("worker", q.GetWorker()),
+		reasonAttr(reason),
+		slog.Int("running", k.left()),
+		slog.Int64("lateMillis", k.nowMillis()-q.GetNotAfterMillis()),
+	}
+	if k.life != nil {
+		attrs = append(attrs, amountAttr("free", k.life.free()))
+	}
+	k.tell(event.LaunchRefused, attrs...)
 	if s == nil || !s.alive {
 		return
 	}
@@ -136,7 +142,6 @@
 func (k *Keeper) accept(r *run) {
 	l := r.life
 	task := r.key.task
-	k.log.Info("launch accepted", r.attrs(), "free", l.free().Minus(r.need).CPUMillis, "runs", k.left()+1)
 	former := l.active[task]
 	if former == nil {
 		l.active[task] = r
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -10,11 +10,15 @@
 // life is one life of the worker, from its first announcement until it is
 // replaced. Durations are readings of the steady clock.
 type life struct {
-	name    string
-	said    Announcement
-	worker  Worker
-	ctx     context.Context
-	cancel  context.CancelFunc
+	name   string
+	said   Announcement
+	worker Worker
+	ctx    context.Context
+	cancel context.CancelFunc
+	// unannounced is set for a life that is known by its reports only.
+	unannounced bool
+	// quiet is set while its silence has been told.
+	quiet   bool
 	left    bool
 	refused bool
 	cleared bool
@@ -27,6 +31,9 @@
 	heldAt time.Duration
 	// leaseUntil is when its lease has surely lapsed.
 	leaseUntil time.Duration
+	// goneAt is when the lease has surely lapsed also of a life under the same
+	// id that no one knew of: its clock began anew, so that it grants the most.
+	goneAt time.Duration
 	// sent and taken number the holds.
 	sent, taken uint64
 	// cursor is the newest end that was taken in.
--- a/lib/lease/metrics.go
+++ b/lib/lease/metrics.go
@@ -1,51 +1,51 @@
 package lease
 
 import (
-	"sync"
-	"time"
-
 	"github.com/uber-go/tally/v4"
 
+	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/wire"
 )
 
 // metrics are what a keeper counts.
 type metrics struct {
-	scope    tally.Scope
-	counters *sync.Map
+	// refusals of launches to entries, by reason.
+	refusals *metric.Counters
+	// orderRefusals are those of starts by the worker.
+	orderRefusals *metric.Counters
+	// stops of runs, by the reason for which they are stopped.
+	stops *metric.Counters
+	// retries of orders.
+	retries *metric.Counters
+	// ends of runs, by the reason for which they aren't done.
+	ends *metric.Counters
+	// announcements that change nothing.
+	announcements *metric.Counters
+
 	running  tally.Gauge
 	free     [3]tally.Gauge
-	toStart  tally.Histogram
-	toEnd    tally.Histogram
+	starting tally.Histogram
+	lasting  tally.Histogram
 }
 
-// counterKey names a counter that is tagged with a reason.
-type counterKey struct{ name, reason string }
-
 func newMetrics(scope tally.Scope) metrics {
 	scope = scope.SubScope("lease")
 	return metrics{
-		scope:    scope,
-		counters: &sync.Map{},
-		running:  scope.Gauge("running"),
+		refusals:      metric.Reasons(scope, "refusals"),
+		orderRefusals: metric.Reasons(scope, "order_refusals"),
+		stops:         metric.Reasons(scope, "stops"),
+		retries:       metric.Reasons(scope, "retries"),
+		ends:          metric.Reasons(scope, "ends"),
+		announcements: metric.Reasons(scope, "announcements"),
+		running:       scope.Gauge("running"),
 		free: [3]tally.Gauge{
 			scope.Gauge("free_cpu_millis"),
 			scope.Gauge("free_memory_mb"),
 			scope.Gauge("free_accelerators"),
 		},
-		toStart: scope.Histogram("accepted_to_started", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
-		toEnd:   scope.Histogram("started_to_ended", tally.MustMakeExponentialDurationBuckets(10*time.Millisecond, 2, 12)),
-	}
-}
-
-// count adds one to the counter name for reason.
-func (m metrics) count(name, reason string) {
-	key := counterKey{name, reason}
-	counter, ok := m.counters.Load(key)
-	if !ok {
-		counter, _ = m.counters.LoadOrStore(key, m.scope.Tagged(map[string]string{"reason": reason}).Counter(name))
+		starting: metric.Durations(scope, "accepted_to_started"),
+		lasting:  metric.Durations(scope, "started_to_ended"),
 	}
-	counter.(tally.Counter).Inc(1)
 }
 
 func (m metrics) state(runs int, free *wire.Resources) {
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -27,7 +28,7 @@
 	delete(l.strays, Running{Task: e.Task, Run: e.Run})
 	r := l.active[e.Task]
 	if r == nil || r.number != e.Run || r.phase == accepted {
-		k.metrics.count("ends", "unknown")
+		k.metrics.ends.Inc("unknown")
 		return
 	}
 	if r.phase == starting {
@@ -75,7 +76,7 @@
 	}
 	if len(l.strays) == 0 && !l.cleared {
 		l.cleared = true
-		k.log.Info("worker cleared", "worker", l.name, "fence", k.fence.number)
+		k.tellLife(event.Cleared, l, millisAttr("tookMillis", k.steady()))
 	}
 }
 
@@ -97,7 +98,6 @@
 func (k *Keeper) takeAbsent(r *run, sent time.Duration) {
 	switch {
 	case r.phase == running, r.phase == stopping && r.known, r.phase == barred && r.known:
-		k.log.Warn("run is missing at its worker", r.attrs())
 		k.end(r, wire.RunHow_RUN_HOW_LOST, "missing")
 	case r.phase == barred:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
@@ -78,11 +77,10 @@
 	return bound
 }
 
-func (r *run) attrs() slog.Attr {
-	return slog.Group("run",
-		"task", r.key.task,
-		"attempt", r.key.attempt,
-		"number", r.number,
-		"entry", r.session.entry.GetId(),
-		"worker", r.life.name)
+// ran is how long it has run at now.
+func (r *run) ran(now time.Duration) time.Duration {
+	if r.startedAt == 0 {
+		return 0
+	}
+	return now - r.startedAt
 }
--- a/lib/lease/session.go
+++ b/lib/lease/session.go
@@ -12,9 +12,11 @@
 	entry *wire.Incarnation
 	alive bool
 	// until is the reading of the agent's clock at which it ends.
-	until   time.Duration
-	records map[runKey]*record
-	ends    []*wire.RunEnd
+	until time.Duration
+	// renewedAt is when the last call came that renewed it.
+	renewedAt time.Duration
+	records   map[runKey]*record
+	ends      []*wire.RunEnd
 	// wake is closed, and made anew, with each end.
 	wake chan struct{}
 	// former numbers of incarnations of the same entry.
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -83,14 +85,24 @@
 		return "sessionEnd"
 	case l.left:
 		return "workerLeft"
+	case l.unannounced:
+		return "workerUnannounced"
 	case l.said.Draining:
 		return "workerDraining"
 	case k.silent(l):
 		return "workerSilent"
+	case k.outlasts(l, r.session):
+		return "sessionShort"
 	}
 	return ""
 }
 
+// outlasts tells whether the lease that was given may last longer than a run
+// under the session may.
+func (k *Keeper) outlasts(l *life, s *session) bool {
+	return l.leaseUntil-k.steady() > s.until+k.cfg.Grace-k.cfg.Clock.Now()
+}
+
 // drop ends a run that is not to be started, or stops it if it may have been.
 func (k *Keeper) drop(r *run, reason string) {
 	if r.unanswered {
@@ -112,7 +124,7 @@
 	l := r.life
 	l.readClock(a.ClockMillis, k.steady())
 	if a.Refusal != Accepted {
-		k.metrics.count("refused_starts", string(a.Refusal))
+		k.tellRefused(l, "start", Running{Task: q.Task, Run: q.Run}, a.Refusal)
 	}
 	switch a.Refusal {
 	case Accepted:
@@ -137,7 +149,6 @@
 	case a.Refusal == RefusedLate && !r.unanswered:
 		return true
 	}
-	k.log.Info("start refused", r.attrs(), "reason", string(a.Refusal), "free", l.free().CPUMillis)
 	k.drop(r, string(a.Refusal))
 	return false
 }
@@ -145,14 +156,12 @@
 // noAnswer has a start sent once more, and then settled by a stop.
 func (k *Keeper) noAnswer(r *run, err error, tries int) bool {
 	r.unanswered = true
-	k.fence.pass()
 	r.life.ask()
-	k.log.Info("start not answered", r.attrs(), "tries", tries, "err", err)
+	k.tellUnanswered(r.life, "start", Running{Task: r.key.task, Run: r.number}, tries, err)
 	if r.phase != starting {
 		return false
 	}
 	if tries < startTries {
-		k.metrics.count("retries", "startUnanswered")
 		return true
 	}
 	k.halt(r, "unanswered", 0)
@@ -170,8 +179,9 @@
 	}
 	r.phase = running
 	r.startedAt = k.steady()
-	k.metrics.toStart.RecordDuration(r.startedAt - r.acceptedAt)
-	k.log.Info("run started", r.attrs(), "ageMillis", (r.startedAt - r.acceptedAt).Milliseconds())
+	took := r.startedAt - r.acceptedAt
+	k.metrics.starting.RecordDuration(took)
+	k.tellRun(event.RunStarted, r, amountAttr("need", r.need), amountAttr("free", r.life.free()), millisAttr("tookMillis", took))
 }
 
 // barRun takes in that the run can't start any more; a later hold tells
@@ -202,8 +212,8 @@
 
 func (k *Keeper) raiseFence(refused uint64) {
 	if k.fence.raise(refused) {
-		k.metrics.count("retries", "fence")
-		k.log.Warn("fence raised", "refused", refused, "fence", k.fence.number)
+		k.metrics.retries.Inc("fence")
+		k.tell(event.FenceRaised, slog.Uint64("fence", k.fence.number))
 	}
 }
 
@@ -213,7 +223,6 @@
 		return
 	}
 	l.refused = true
-	k.log.Warn("worker answers for another life", "worker", l.name, "runs", len(l.active))
 	if a := k.doubted; a != nil && l == k.life && k.replaces(*a) {
 		k.replace(*a)
 	}
@@ -238,6 +247,7 @@
 		return 0
 	}
 	l.leaseUntil = max(l.leaseUntil, now+scaled(ahead))
+	l.goneAt = now + callTimeout + scaled(k.cfg.LeaseMax)
 	return l.clock(now) + ahead.Milliseconds()
 }
 
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -1,10 +1,12 @@
 package lease
 
 import (
+	"log/slog"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -28,9 +30,8 @@
 	if proto.Equal(next, k.board.state) {
 		return
 	}
-	if next.GetAccepting() != k.board.state.GetAccepting() || next.GetReason() != k.board.state.GetReason() {
-		k.log.Info("worker state", "worker", next.GetId(), "accepting", next.GetAccepting(),
-			"reason", next.GetReason(), "free", next.GetFree().GetCpuMillis())
+	if !next.GetAccepting() && next.GetReason() != k.board.state.GetReason() {
+		k.tell(event.WorkerDraining, slog.String("worker", next.GetId()), reasonAttr(next.GetReason()), slog.Int("running", k.left()))
 	}
 	sudden := next.GetAccepting() != k.board.state.GetAccepting()
 	next.Version++
@@ -85,6 +86,8 @@
 		return "leaving"
 	case l.left:
 		return "workerLeft"
+	case l.unannounced:
+		return "workerUnannounced"
 	case l.said.Draining:
 		return "workerDraining"
 	case l.refused:
--- a/lib/lease/stop.go
+++ b/lib/lease/stop.go
@@ -68,9 +68,7 @@
 // stopped tells whether the answer to a stop acknowledges it.
 func (k *Keeper) stopped(l *life, q Stop, a Answer, err error) bool {
 	if err != nil {
-		k.fence.pass()
-		k.metrics.count("retries", "stopUnanswered")
-		k.log.Info("stop not answered", "task", q.Task, "number", q.Run, "worker", l.name, "err", err)
+		k.tellUnanswered(l, "stop", Running{Task: q.Task, Run: q.Run}, 1, err)
 		return false
 	}
 	l.readClock(a.ClockMillis, k.steady())
@@ -82,8 +80,7 @@
 	case RefusedLife:
 		k.refuseLife(l)
 	default:
-		k.metrics.count("retries", "stopRefused")
-		k.log.Warn("stop refused", "task", q.Task, "number", q.Run, "worker", l.name, "reason", string(a.Refusal))
+		k.tellRefused(l, "stop", Running{Task: q.Task, Run: q.Run}, a.Refusal)
 	}
 	return false
 }
--- a/lib/lease/stray.go
+++ b/lib/lease/stray.go
@@ -1,6 +1,11 @@
 package lease
 
-import "time"
+import (
+	"log/slog"
+	"time"
+
+	"skylarklane.example/lib/event"
+)
 
 // stray is a run at the worker that belongs to no entry here: this agent's
 // earlier incarnation started it, or it was given up as lost.
@@ -21,8 +26,9 @@
 	}
 	s := &stray{k: k, l: l, at: at}
 	l.strays[at] = s
-	k.metrics.count("stops", "unknown")
-	k.log.Info("unknown run is stopped", "task", at.Task, "number", at.Run, "worker", l.name)
+	k.metrics.stops.Inc("unknown")
+	k.tell(event.RunStopped, slog.String("task", at.Task), slog.Uint64("run", uint64(at.Run)),
+		slog.String("worker", l.said.ID), reasonAttr("unknown"))
 	if l.ctx != nil {
 		k.spawn(s.run)
 	}
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -57,10 +58,11 @@
 	}
 	if until > now {
 		s.until = max(s.until, until)
+		s.renewedAt = now
 	}
 	if !s.alive && s.until > now {
 		s.alive = true
-		k.log.Info("session begins", "entry", s.entry.GetId(), "number", s.entry.GetNumber())
+		k.tellSession(event.SessionStarted, s)
 	}
 	if known {
 		s.seen(q.GetEndsSeen(), now)
