An unanswered start is void once a later hold was taken

Cause: a run whose start and stop got no answer held its room until the lease that its start carried was over, up to 0.6 s, and its stop went on. Change: each unanswered order raises the fence, so a hold that was carried out afterwards bars the start; one that does not show the run settles it at once. Ruled out: waiting for the deadline of the start (slower; a worker that counts the time from the arrival would start it).

--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -143,7 +143,7 @@
 	k.takeEnds(l, report.Ended)
 	if seq > l.taken {
 		l.taken = seq
-		k.takeRunning(l, seq, sent, report)
+		k.takeRunning(l, q, seq, sent, report)
 	}
 	return true
 }
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -55,7 +55,7 @@
 
 // takeRunning takes in what runs. seq is the number of the hold, sent when it
 // was sent.
-func (k *Keeper) takeRunning(l *life, seq uint64, sent time.Duration, report Report) {
+func (k *Keeper) takeRunning(l *life, q Hold, seq uint64, sent time.Duration, report Report) {
 	present := make(map[Running]bool, len(report.Running))
 	for _, at := range report.Running {
 		present[at] = true
@@ -66,7 +66,7 @@
 	}
 	for _, r := range l.active {
 		if !present[Running{Task: r.key.task, Run: r.number}] && seq > r.proof {
-			k.takeAbsent(r, sent)
+			k.takeAbsent(r, q.Fence)
 		}
 	}
 	for at, s := range l.strays {
@@ -93,16 +93,15 @@
 	k.addStray(l, at)
 }
 
-// takeAbsent ends a run that the worker neither has nor lists as ended. One
-// whose stops are not acknowledged is stopped on, though its starts are void.
-func (k *Keeper) takeAbsent(r *run, sent time.Duration) {
+// takeAbsent ends a run that the worker neither has nor lists as ended. A start
+// that has not arrived is void once a hold with a higher fence was taken.
+func (k *Keeper) takeAbsent(r *run, fence uint64) {
 	switch {
 	case r.phase == running, r.phase == stopping && r.known, r.phase == barred && r.known:
 		k.end(r, wire.RunHow_RUN_HOW_LOST, "missing")
 	case r.phase == barred:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
-	case r.phase == stopping && sent > r.startsUntil:
+	case r.phase == stopping && fence > r.fence:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
-		k.addStray(r.life, Running{Task: r.key.task, Run: r.number})
 	}
 }
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -54,9 +54,8 @@
 	// proof is the newest hold sent before the run's present phase was known;
 	// later ones tell of it.
 	proof uint64
-	// startsUntil is the reading of the steady clock after which the worker
-	// surely refuses the starts that were sent.
-	startsUntil time.Duration
+	// fence of the last start that was sent.
+	fence uint64
 	// reason for which it is stopped.
 	reason string
 	// limit of its lease in the agent's clock once it is stopped.
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -63,7 +63,7 @@
 		k.drop(r, "leaseShort")
 		return Start{}, nil, false
 	}
-	r.startsUntil = l.leaseUntil
+	r.fence = k.fence.number
 	return Start{
 		Task:           r.key.task,
 		Run:            r.number,
