--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -78,10 +78,10 @@
 // forget drops what is too old to matter.
 func (k *Keeper) forget() {
 	now := k.cfg.Clock.Now()
-	for id, s := range k.sessions {
+	for key, s := range k.sessions {
 		s.forget(now - 2*k.cfg.Session)
 		if !s.alive && now > s.until+sessionMemory {
-			delete(k.sessions, id)
+			delete(k.sessions, key)
 		}
 	}
 	if k.life != nil {
--- a/lib/lease/fault_test.go
+++ b/lib/lease/fault_test.go
@@ -38,6 +38,21 @@
 	})
 }
 
+func TestFirstWatchThatWaitedOnItsWayReplacesNothing(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		former := &wire.Incarnation{Id: "entry1", Number: 9}
+		reply, err := d.k.Watch(context.Background(), &wire.WatchRequest{Entry: former})
+		d.NoErr(err)
+		d.True(reply.GetSessionUntilMillis() <= reply.GetClockMillis())
+		d.Equal(d.launch(former, 1, "b")[0].GetReason(), "noSession")
+		d.sleep(100)
+		d.Equal(d.w.running(), []string{"a"})
+		d.accepts(entryOne, 1, "c")
+	})
+}
+
 func TestWatchThatWaitedOnItsWayRenewsLess(t *testing.T) {
 	onDesk(t, func(d *desk) {
 		sent := d.clock.Now().Milliseconds()
@@ -76,14 +91,14 @@
 	onDesk(t, func(d *desk) {
 		d.watch(entryOne, 0)
 		d.accepts(entryOne, 1, "a")
-		d.sleep(700)
+		d.sleep(790)
 		d.w.set(func() {
 			d.w.onHold = func(Hold, func() Report) (Report, error) { return Report{}, errNoAnswer }
 		})
 		d.w.set(func() {
 			d.w.onStop = func(Stop, func() Answer) (Answer, error) { return Answer{}, errNoAnswer }
 		})
-		d.sleep(520)
+		d.sleep(435)
 		d.Equal(d.w.running(), nil)
 	})
 }
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -20,10 +20,7 @@
 	if !wire.Same(q.GetAgent(), k.cfg.Agent) {
 		return nil, twirp.NewError(twirp.FailedPrecondition, "another incarnation of the agent")
 	}
-	s, err := k.enter(q.GetEntry())
-	if err != nil {
-		return nil, err
-	}
+	s := k.enter(q.GetEntry())
 	for _, id := range q.GetRuns() {
 		k.haltOne(s, keyOf(id))
 	}
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -32,7 +32,7 @@
 	life     *life
 	retired  []*life
 	dead     []string
-	sessions map[string]*session
+	sessions map[sessionKey]*session
 	leaving  bool
 	// doubted is the newest announcement that was ignored for its start.
 	doubted *Announcement
@@ -54,7 +54,7 @@
 		starts:   make(chan struct{}, startsAtOnce),
 		stops:    make(chan struct{}, stopsAtOnce),
 		fence:    newFence(time.Now()),
-		sessions: map[string]*session{},
+		sessions: map[sessionKey]*session{},
 		board:    newBoard(),
 	}
 	k.changed()
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -32,11 +32,7 @@
 
 // session is the one of the entry's incarnation, nil if there is none.
 func (k *Keeper) session(entry *wire.Incarnation) *session {
-	s := k.sessions[entry.GetId()]
-	if s == nil || !wire.Same(s.entry, entry) {
-		return nil
-	}
-	return s
+	return k.sessions[keyOfEntry(entry)]
 }
 
 // refusingAll is the reason for which all tasks of a launch are refused, empty
--- a/lib/lease/session.go
+++ b/lib/lease/session.go
@@ -19,8 +19,18 @@
 	ends      []*wire.RunEnd
 	// wake is closed, and made anew, with each end.
 	wake chan struct{}
-	// former numbers of incarnations of the same entry.
-	former []uint64
+	// replaced is set once another incarnation of the entry has taken over.
+	replaced bool
+}
+
+// sessionKey names an incarnation of an entry.
+type sessionKey struct {
+	id     string
+	number uint64
+}
+
+func keyOfEntry(entry *wire.Incarnation) sessionKey {
+	return sessionKey{entry.GetId(), entry.GetNumber()}
 }
 
 // record is the agent's answer to a launch, kept so that it stays the same.
