--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"log/slog"
 	"time"
 
 	"skylarklane.example/lib/capacity"
@@ -55,9 +54,8 @@
 	// proof is the newest hold sent before the run's present phase was known;
 	// later ones tell of it.
 	proof uint64
-	// startsUntil is the reading of the steady clock after which the worker
-	// surely refuses the starts that were sent.
-	startsUntil time.Duration
+	// fence of the last start that was sent.
+	fence uint64
 	// reason for which it is stopped.
 	reason string
 	// limit of its lease in the agent's clock once it is stopped.
@@ -78,11 +76,10 @@
 	return bound
 }
 
-func (r *run) attrs() slog.Attr {
-	return slog.Group("run",
-		"task", r.key.task,
-		"attempt", r.key.attempt,
-		"number", r.number,
-		"entry", r.session.entry.GetId(),
-		"worker", r.life.name)
+// ran is how long it has run at now.
+func (r *run) ran(now time.Duration) time.Duration {
+	if r.startedAt == 0 {
+		return 0
+	}
+	return now - r.startedAt
 }
