--- /dev/null
+++ b/lib/lease/metrics.go
@@ -0,0 +1,56 @@
+package lease
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/metric"
+	"skylarklane.example/lib/wire"
+)
+
+// metrics are what a keeper counts.
+type metrics struct {
+	// refusals of launches to entries, by reason.
+	refusals *metric.Counters
+	// orderRefusals are those of starts by the worker.
+	orderRefusals *metric.Counters
+	// stops of runs, by the reason for which they are stopped.
+	stops *metric.Counters
+	// retries of orders.
+	retries *metric.Counters
+	// ends of runs, by the reason for which they aren't done.
+	ends *metric.Counters
+	// announcements that change nothing.
+	announcements *metric.Counters
+
+	running  tally.Gauge
+	free     [3]tally.Gauge
+	starting tally.Histogram
+	lasting  tally.Histogram
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	scope = scope.SubScope("lease")
+	return metrics{
+		refusals:      metric.Reasons(scope, "refusals"),
+		orderRefusals: metric.Reasons(scope, "order_refusals"),
+		stops:         metric.Reasons(scope, "stops"),
+		retries:       metric.Reasons(scope, "retries"),
+		ends:          metric.Reasons(scope, "ends"),
+		announcements: metric.Reasons(scope, "announcements"),
+		running:       scope.Gauge("running"),
+		free: [3]tally.Gauge{
+			scope.Gauge("free_cpu_millis"),
+			scope.Gauge("free_memory_mb"),
+			scope.Gauge("free_accelerators"),
+		},
+		starting: metric.Durations(scope, "accepted_to_started"),
+		lasting:  metric.Durations(scope, "started_to_ended"),
+	}
+}
+
+func (m metrics) state(runs int, free *wire.Resources) {
+	m.running.Update(float64(runs))
+	m.free[0].Update(float64(free.GetCpuMillis()))
+	m.free[1].Update(float64(free.GetMemoryMb()))
+	m.free[2].Update(float64(free.GetAccelerators()))
+}
--- /dev/null
+++ b/lib/lease/settle_test.go
@@ -0,0 +1,236 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// unanswered leaves an order without an answer.
+func unanswered[Q, A any](Q, func() A) (A, error) {
+	var none A
+	time.Sleep(callTimeout)
+	return none, errNoAnswer
+}
+
+func TestRunThatEndedBeforeItsSecondStart(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onHold = unanswered[Hold, Report]
+			d.w.onStart = func(q Start, apply func() Answer) (Answer, error) {
+				if a := apply(); a.Refusal != Accepted {
+					return a, nil
+				}
+				d.w.finish(q.Task, q.Run, Done)
+				return unanswered[Start, Answer](q, apply)
+			}
+		})
+		d.sleep(260)
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(150)
+		d.w.set(func() { d.w.onHold = nil })
+		d.Equal(endsOf(d.live(entryOne, 300)), map[runKey]string{{"a", 1}: "DONE "})
+		d.Equal(d.w.startsOf("a"), 2)
+	})
+}
+
+func TestUnansweredOrdersAreSettledOnceTheyAreVoid(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		var late []func() Answer
+		d.live(entryOne, 50)
+		d.w.set(func() {
+			d.w.onStart = func(q Start, apply func() Answer) (Answer, error) {
+				late = append(late, apply)
+				return unanswered(q, apply)
+			}
+			d.w.onStop = unanswered[Stop, Answer]
+			d.w.onHold = unanswered[Hold, Report]
+		})
+		d.accepts(entryOne, 1, "a")
+		reply := d.live(entryOne, 300)
+		d.Equal(len(reply.GetEnds()), 0)
+		d.Equal(reply.GetWorker().GetReason(), "workerUnanswering")
+		d.w.set(func() { d.w.onHold = nil })
+		reply = d.live(entryOne, 200)
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "NOT_STARTED unanswered"})
+		d.True(reply.GetWorker().GetAccepting())
+		d.Equal(len(late), startTries)
+		for _, apply := range late {
+			d.Equal(apply().Refusal, RefusedFence)
+		}
+	})
+}
+
+func TestStartOnItsWayIsNotVoidByAHoldOfItsOwnFence(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() {
+			d.w.onStop = unanswered[Stop, Answer]
+			d.w.onStart = func(_ Start, apply func() Answer) (Answer, error) {
+				time.Sleep(callTimeout / 2)
+				return apply(), nil
+			}
+		})
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(5)
+		d.halt(entryOne, 1, "a")
+		d.life().ask()
+		d.sleep(20)
+		d.Equal(len(d.watch(entryOne, 0).GetEnds()), 0)
+		d.sleep(30)
+		d.Equal(d.w.running(), []string{"a"})
+		d.Equal(len(d.watch(entryOne, 0).GetEnds()), 0)
+	})
+}
+
+func TestStartThatWaitedDuringASuspension(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		for range startsAtOnce {
+			d.k.starts <- struct{}{}
+		}
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.clock.skipped += time.Second
+		for range startsAtOnce {
+			<-d.k.starts
+		}
+		d.sleep(1)
+		d.Equal(d.w.startsOf("a"), 0)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "NOT_STARTED sessionEnd"})
+	})
+}
+
+func TestRefusalStays(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.launch(entryOne, 1, "a", "b", "c", "d")
+		d.sleep(5)
+		q := d.order(entryOne, 1, "e")
+		for range 2 {
+			reply, err := d.k.Launch(context.Background(), q)
+			d.NoErr(err)
+			d.Equal(reply.GetResults()[0].GetReason(), "noRoom")
+			d.w.finish("a", 1, Done)
+			d.sleep(5)
+			d.w.set(func() { d.w.runs[Running{Task: "a", Run: 1}] = true })
+		}
+		d.accepts(entryOne, 2, "e")
+	})
+}
+
+func TestReportsThatLackEnds(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.sleep(5)
+		d.w.set(func() {
+			d.w.onHold = func(_ Hold, apply func() Report) (Report, error) {
+				r := apply()
+				r.Running, r.Partial = nil, true
+				return r, nil
+			}
+		})
+		d.Equal(len(d.live(entryOne, 600).GetEnds()), 0)
+	})
+}
+
+func TestReportOfAnotherLifeUnderTheSameID(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		next := newFakeWorker("w1", 3000)
+		d.dials["w1@3000"] = next
+		d.watch(entryOne, 0)
+		d.w.set(func() {
+			d.w.onStart = func(q Start, _ func() Answer) (Answer, error) { return next.applyStart(q), nil }
+			d.w.said.Born = 3000
+		})
+		d.accepts(entryOne, 1, "a")
+		d.sleep(400)
+		d.Equal(next.running(), nil)
+		reply := d.watch(entryOne, 0)
+		d.Equal(reply.GetWorker().GetReason(), "workerUnannounced")
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "LOST workerReplaced"})
+		d.announce(next)
+		d.sleep(20)
+		d.True(d.watch(entryOne, 0).GetWorker().GetAccepting())
+	})
+}
+
+func TestEarlierBirthIsTakenOnceTheCurrentLifeIsOver(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 1, "a")
+		d.w.set(func() { d.w.said.ID = "w2" })
+		next := newFakeWorker("w2", 900)
+		d.announce(next)
+		d.sleep(20)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w2@900")
+	})
+}
+
+func TestNeedsAreReservedWhileALaunchWaits(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.watch(entryTwo, 0)
+		d.launch(entryOne, 1, "a", "b")
+		d.sleep(5)
+		q := d.order(entryTwo, 1, "a")
+		q.Tasks[0].Need.CpuMillis = 2000
+		_, err := d.k.Launch(context.Background(), q)
+		d.NoErr(err)
+		d.Equal(d.launch(entryOne, 1, "c")[0].GetReason(), "noRoom")
+	})
+}
+
+func TestLaunchUnderASessionThatIsShorterThanTheLease(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.watch(entryOne, 0)
+		d.live(entryTwo, 50)
+		d.accepts(entryTwo, 1, "a")
+		d.live(entryTwo, 700)
+		d.Equal(d.launch(entryOne, 1, "b")[0].GetReason(), "sessionShort")
+		d.accepts(entryTwo, 1, "c")
+		d.watch(entryOne, 0)
+		d.accepts(entryOne, 2, "b")
+	})
+}
+
+func TestLeaseIsNotExtendedBeforeTheWorkerIsCleared(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		next := newFakeWorker("w2", 2000)
+		next.runs[Running{Task: "old", Run: 3}] = true
+		next.lease = 200
+		next.onStop = unanswered[Stop, Answer]
+		d.announce(next)
+		d.sleep(150)
+		d.Equal(next.running(), []string{"old"})
+		d.sleep(100)
+		d.Equal(next.running(), nil)
+	})
+}
+
+func TestHaltWithoutASession(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.halt(entryOne, 1, "a")
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "NOT_STARTED halted"})
+	})
+}
+
+func TestUnansweredOrderIsBarredByItsFence(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		var late func() Answer
+		d.w.set(func() {
+			d.w.onStart = func(q Start, apply func() Answer) (Answer, error) {
+				if late == nil {
+					late = apply
+					return unanswered(q, apply)
+				}
+				return apply(), nil
+			}
+		})
+		d.live(entryOne, 50)
+		d.accepts(entryOne, 1, "a")
+		d.live(entryOne, 100)
+		d.Equal(late().Refusal, RefusedFence)
+	})
+}
--- /dev/null
+++ b/lib/lease/watch.go
@@ -0,0 +1,66 @@
+package lease
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"skylarklane.example/lib/wire"
+)
+
+// Watch implements wire.Runner.
+func (k *Keeper) Watch(ctx context.Context, q *wire.WatchRequest) (*wire.WatchReply, error) {
+	if q.GetEntry().GetId() == "" {
+		return nil, twirp.InvalidArgumentError("entry", "must be there")
+	}
+	s, err := k.renew(q)
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(q.GetWaitMillis())*time.Millisecond, k.cfg.Session/2)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		reply, ends, board := k.news(s, q)
+		if reply != nil {
+			return reply, nil
+		}
+		select {
+		case <-ends:
+		case <-board:
+		case <-timer.C:
+			return k.reply(s), nil
+		case <-ctx.Done():
+			return nil, twirp.NewError(twirp.Canceled, "watch broken off")
+		}
+	}
+}
+
+// news is the reply if there is something new, or else what tells of it.
+func (k *Keeper) news(s *session, q *wire.WatchRequest) (*wire.WatchReply, <-chan struct{}, <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fresh := k.board.state.GetVersion() != q.GetVersionSeen() && !k.board.pending
+	if fresh || len(s.ends) > 0 || !wire.Same(q.GetAgent(), k.cfg.Agent) {
+		return k.replyLocked(s), nil, nil
+	}
+	return nil, s.wake, k.board.wake
+}
+
+func (k *Keeper) reply(s *session) *wire.WatchReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.replyLocked(s)
+}
+
+func (k *Keeper) replyLocked(s *session) *wire.WatchReply {
+	return &wire.WatchReply{
+		Agent:              k.cfg.Agent,
+		ClockMillis:        k.nowMillis(),
+		SessionUntilMillis: s.until.Milliseconds(),
+		Worker:             k.board.state,
+		Ends:               slices.Clone(s.ends),
+	}
+}
--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -60,7 +61,7 @@
 		if !mendable(err) {
 			return err
 		}
-		h.log.Error("This host stops taking part for now.", "error", err)
+		event.HostFailed.Log(ctx, h.log, slog.Any("error", err))
 		if !h.mend(ctx, err) {
 			return nil
 		}
@@ -68,13 +69,16 @@
 }
 
 func (h *Host) run(ctx context.Context) error {
-	h.mu.Lock()
-	node := h.node
-	h.mu.Unlock()
-	if node == nil {
-		return h.reopen()
+	if _, err := h.current(); err != nil {
+		if err := h.reopen(); err != nil {
+			return err
+		}
+	}
+	node, err := h.current()
+	if err != nil {
+		return err
 	}
-	err := node.Run(ctx)
+	err = node.Run(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.node = nil
@@ -91,7 +95,7 @@
 			cause = renewFolder(h.folder, h.cfg.ID)
 		}
 		if renew && cause == nil {
-			h.log.Warn("This host starts over with a new data folder.", "host", h.cfg.ID)
+			event.HostStartsOver.Log(ctx, h.log, slog.String("host", h.cfg.ID))
 		}
 		if cause = h.reopen(); cause == nil {
 			return true
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -115,7 +116,8 @@
 		n.lead(now)
 		return
 	}
-	if n.leader != "" && now.Sub(n.heardAt) > 2*n.cfg.Timing.Election {
+	if n.leader != "" && now.Sub(n.heardAt) > n.cfg.Timing.Election {
+		n.log.Info("The leader is silent.", "leader", n.leader, "silentMillis", now.Sub(n.heardAt).Milliseconds())
 		n.leader = ""
 	}
 	if !now.Before(n.meetAt) && (n.store.fresh() || n.leader == "") {
@@ -124,7 +126,7 @@
 		n.foundFromSeeds()
 	}
 	if !now.Before(n.campaignAt) {
-		n.delayCampaign(now)
+		n.campaignAt = now.Add(n.cfg.Timing.Election/5 + rand.N(n.cfg.Timing.Election/2))
 		n.campaign(true)
 	}
 }
@@ -217,11 +219,11 @@
 		n.store.setVote(&wire.LogVote{Term: term})
 	}
 	if n.leading {
-		n.log.Info("No longer the leader.", "term", n.store.vote.GetTerm())
+		noteLeader(n.log, leader, reasonDeposed, slog.Uint64("term", term))
 		n.delayCampaign(now)
 	}
 	if leader != n.leader && leader != "" {
-		n.log.Info("Following a leader.", "leader", leader, "term", term)
+		noteLeader(n.log, leader, reasonHeard, slog.Uint64("term", term))
 	}
 	n.leading = false
 	n.leader = leader
