--- a/lib/quorum/meet.go
+++ b/lib/quorum/meet.go
@@ -113,6 +113,10 @@
 	if c.q.GetFolder() != n.store.identity.GetFolder() {
 		return
 	}
+	if reply.GetLeader() {
+		n.met = &wire.LogHost{Id: reply.GetId(), Address: reply.GetAddress()}
+		n.metAt = n.cfg.Now()
+	}
 	if group == nil {
 		n.noteFresh(c, reply)
 		return
@@ -179,10 +183,10 @@
 
 // Meet implements wire.Quorum.
 func (n *Node) Meet(ctx context.Context, q *wire.MeetRequest) (*wire.MeetReply, error) {
-	return answer(ctx, n, func() *wire.MeetReply { return n.met(q) })
+	return answer(ctx, n, func() *wire.MeetReply { return n.answerMeet(q) })
 }
 
-func (n *Node) met(q *wire.MeetRequest) *wire.MeetReply {
+func (n *Node) answerMeet(q *wire.MeetRequest) *wire.MeetReply {
 	now := n.cfg.Now()
 	n.remember(q.GetAddress())
 	reply := &wire.MeetReply{Id: n.cfg.ID, Folder: n.store.identity.GetFolder(), Address: n.cfg.Address}
@@ -226,7 +230,7 @@
 	} else {
 		group = withoutAddress(group, address)
 	}
-	if len(group.GetHosts()) > maxMembers || q.GetFolder() == 0 {
+	if i < 0 && len(group.GetHosts()) >= maxMembers || q.GetFolder() == 0 {
 		return
 	}
 	if n.proposeGroup(withHost(group, q.GetId(), address, q.GetFolder()), nil) == nil {
--- a/lib/quorum/quorum.go
+++ b/lib/quorum/quorum.go
@@ -239,11 +239,17 @@
 func (n *Node) output(f func()) { n.outputs = append(n.outputs, f) }
 
 func (n *Node) notLeader(op string) *Error {
-	address := ""
+	leader := &wire.LogHost{Id: n.leader}
+	if n.store.fresh() && n.cfg.Now().Sub(n.metAt) < n.cfg.Timing.Election {
+		leader = n.met
+	}
 	for _, host := range n.group.GetHosts() {
 		if host.GetId() == n.leader {
-			address = host.GetAddress()
+			leader = host
 		}
 	}
-	return &Error{Op: op, Kind: KindNotLeader, Leader: n.leader, Address: address, Err: eris.New("this host is not the leader or cannot reach a quorum")}
+	return &Error{
+		Op: op, Kind: KindNotLeader, Leader: leader.GetId(), Address: leader.GetAddress(),
+		Err: eris.New("this host is not the leader or cannot reach a quorum"),
+	}
 }
--- a/lib/quorum/seeds_test.go
+++ b/lib/quorum/seeds_test.go
@@ -411,3 +411,29 @@
 		})
 	}
 }
+
+// TestManyHosts starts more hosts than a group takes: the others know where the
+// leader is, and one of them takes the place of a host that goes away.
+func TestManyHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSeeded(t, three, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+		defer c.stopAll()
+		c.propose("x")
+		time.Sleep(10 * time.Second)
+		c.is.Equal(c.voters(), maxMembers)
+		leader := c.leader()
+		for _, peer := range c.peers {
+			if peer.GetId() == leader {
+				continue
+			}
+			var e *Error
+			c.is.True(errors.As(c.host(peer.GetId()).node.Read(t.Context(), func(uint64) {}), &e))
+			c.is.Equal(e.Address, leader)
+		}
+		away := c.follower()
+		c.stop(away)
+		c.unname(away)
+		time.Sleep(20 * time.Second)
+		c.is.Equal(c.voters(), maxMembers)
+	})
+}
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -31,6 +31,9 @@
 	meets     map[string]*wire.MeetReply
 	metBefore map[string]*wire.MeetReply
 	meetRound uint64
+	// met is the leader of a group that this host is not in, heard of at metAt.
+	met   *wire.LogHost
+	metAt time.Time
 	// seeds are the ones in force; known are other addresses, oldest first.
 	seeds []string
 	known []string
