--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/quorum"
@@ -43,6 +44,7 @@
 }
 
 func run(ctx context.Context, cfg *wire.ControlSettings, log *slog.Logger, ready process.ReadyFunc, r *reloader) error {
+	log = process.Identify(log, membership.NewIncarnation(cfg.GetId()))
 	security, err := process.LoadSecurity(cfg.GetSecurity())
 	if err != nil {
 		return err
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -31,6 +31,8 @@
 		select {
 		case <-earlier.settled:
 		case <-ctx.Done():
+			d.mu.Lock()
+			defer d.mu.Unlock()
 			return nil, d.refuse(j, reasonCallerLeft)
 		}
 	}
@@ -63,11 +65,11 @@
 	w := newWork(j, d.kindOf(j), now, d.attempts[j.ID].attempt)
 	d.sequence++
 	w.sequence = d.sequence
+	w.count(d.capacityOf(j.Service))
 	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * d.bestFactor(j.Service, now))
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
-	d.log.Info("A job has come in.", "job", j.ID, "service", j.Service, "kind", j.Kind.GetName(), "tasks", w.tasksLeft,
-		"idealMillis", w.ideal.Milliseconds(), "dueMillis", w.objective.Due.Milliseconds(), "queued", len(d.queue))
+	d.noteReceived(w)
 	if d.neverFits(w) {
 		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
 		return w
@@ -86,24 +88,24 @@
 		d.giveUp(w, reasonQueueFull)
 		return
 	}
-	ahead := 0.0
+	b := d.backlog(w.Service, now)
 	for _, other := range d.queue {
 		if other == w {
 			break
 		}
 		if other.Service == w.Service {
-			ahead += other.size()
+			b.Ahead += other.size()
 		}
 	}
-	if d.hopeless(w, ahead, now) {
+	if w.hopeless(b, d.delays[w.delayKey()].value(now), now) {
 		d.giveUp(w, reasonHopeless)
 	}
 }
 
-// refuse is the outcome of a job that was never taken in hand.
+// refuse is the outcome of a job that was never taken in hand. The lock is held.
 func (d *Desk) refuse(j Job, reason string) Outcome {
 	d.metrics.refusal(reason)
-	d.log.Info("A job is refused.", "job", j.ID, "service", j.Service, "reason", reason)
+	d.noteRefused(j, reason)
 	return Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter}
 }
 
--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -33,13 +33,7 @@
 	default:
 		d.metrics.failure(w.outcome.Reason)
 	}
-	started := time.Duration(0)
-	if w.startedAt != 0 {
-		started = w.startedAt - w.receivedAt
-	}
-	d.log.Info("A job has ended.", "job", w.ID, "state", w.outcome.State.String(), "reason", w.outcome.Reason,
-		"tasksLeft", w.tasksLeft, "runsLeft", w.live, "startedMillis", started.Milliseconds(),
-		"tookMillis", (now - w.receivedAt).Milliseconds(), "dueMillis", w.objective.Due.Milliseconds(), "queued", len(d.queue))
+	d.noteAnswered(w, now)
 }
 
 // release forgets a job that is answered and of which no run is left.
@@ -65,7 +59,12 @@
 }
 
 // giveUp ends a job that will not be worth anything.
-func (d *Desk) giveUp(w *work, reason string) { d.finish(w, d.stopped(w, reason)) }
+func (d *Desk) giveUp(w *work, reason string) {
+	if w.startedAt == 0 {
+		d.noteDelay(w, d.clock.Now())
+	}
+	d.finish(w, d.stopped(w, reason))
+}
 
 // untouched tells whether no task of the job has run or may still start.
-func (w *work) untouched() bool { return !w.ran && w.live == 0 }
+func (w *work) untouched() bool { return w.ran == 0 && w.live == 0 }
--- a/lib/job/launch.go
+++ b/lib/job/launch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"time"
 
@@ -19,6 +20,9 @@
 	// refusedPause is how long an agent gets no launch after it refused one
 	// that its word has room for.
 	refusedPause = 25 * time.Millisecond
+	// contestedFor is how long after a refusal for want of room an agent counts
+	// as contested.
+	contestedFor = 200 * time.Millisecond
 	// unreachablePause is the same for one that could not be reached.
 	unreachablePause = 100 * time.Millisecond
 )
@@ -31,11 +35,15 @@
 	work   *work
 	runs   []*run
 	q      *wire.LaunchRequest
+	// inputs are what the choice was made by, for the log.
+	inputs []slog.Attr
+	// delay is the time until the order is sent.
+	delay time.Duration
 }
 
 // newLaunch returns an empty order.
 func (d *Desk) newLaunch(w *work, l *link, now time.Duration) *launch {
-	return &launch{d: d, link: l, runner: l.runner, work: w, q: &wire.LaunchRequest{
+	return &launch{d: d, link: l, runner: l.runner, work: w, inputs: d.inputsOf(w, l, now), delay: d.delayAt(w, l, now), q: &wire.LaunchRequest{
 		Entry:          d.self,
 		Agent:          l.agent,
 		NotAfterMillis: min(l.sessionMillis, l.agentMillis(now+launchLife)),
@@ -46,6 +54,18 @@
 	}}
 }
 
+// delayAt is how long the job lets those of other entries go first.
+func (d *Desk) delayAt(w *work, l *link, now time.Duration) time.Duration {
+	if now > l.contestedUntil {
+		return 0
+	}
+	delay := d.cfg.Yield * time.Duration(min(w.Kind.GetPriority(), 3))
+	if w.late(now) && w.ran == 0 {
+		delay += d.cfg.Yield
+	}
+	return delay
+}
+
 // add puts a run into the order.
 func (o *launch) add(r *run) {
 	o.runs = append(o.runs, r)
@@ -55,6 +75,7 @@
 // run sends the order and takes in the reply. It is never sent twice: a copy
 // that was held up could be accepted after the other one was refused.
 func (o *launch) run() {
+	sleep(o.d.ctx, o.delay)
 	ctx, cancel := context.WithTimeout(o.d.ctx, launchTimeout)
 	defer cancel()
 	reply, err := o.runner.Launch(ctx, o.q)
@@ -101,7 +122,7 @@
 func (d *Desk) launchUnsettled(o *launch, err error, now time.Duration) {
 	o.link.dropConnections()
 	o.link.pausedUntil = now + unreachablePause
-	d.log.Warn("A launch got no answer.", "job", o.work.ID, "agent", o.q.GetAgent().GetId(), "tasks", len(o.runs), "error", err)
+	d.noteLaunchUnanswered(o, err)
 	for _, r := range o.open() {
 		d.unreserve(r)
 		d.halt(r, reasonNoReply, now)
@@ -124,25 +145,29 @@
 	if wire.Same(o.q.GetAgent(), o.link.agent) {
 		o.link.takeWord(reply.GetWorker(), now)
 	}
+	var taken []*run
 	for i, r := range o.runs {
 		result := reply.GetResults()[i]
 		switch {
 		case o.link.runs[r.key()] != r: // its end came first, or the agent is a new one
 		case result.GetAccepted():
+			taken = append(taken, r)
 			d.started(r, now)
 		default:
 			d.refusedRun(r, result.GetReason(), now)
 		}
 	}
+	d.notePlaced(o, taken)
 }
 
 // started notes that an agent has accepted a run.
 func (d *Desk) started(r *run, now time.Duration) {
 	d.unreserve(r)
 	w := r.work
-	w.ran = true
+	r.ranAtAll(true)
 	if w.startedAt == 0 {
 		w.startedAt = now
+		d.noteDelay(w, now)
 		d.metrics.waited.RecordDuration(now - w.receivedAt)
 	}
 }
@@ -151,10 +176,11 @@
 func (d *Desk) refusedRun(r *run, reason string, now time.Duration) {
 	l := r.link
 	d.metrics.refusal("agent." + reason)
+	l.contestedUntil = now + contestedFor
 	if r.need.Fits(l.room()) {
 		l.pausedUntil = now + refusedPause
 	}
-	d.again(r, "refused", reason, now)
+	d.again(r, causeRefused, reason, now)
 }
 
 // open returns the runs of the order that are not settled.
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -32,7 +32,7 @@
 	life     *life
 	retired  []*life
 	dead     []string
-	sessions map[string]*session
+	sessions map[sessionKey]*session
 	leaving  bool
 	// doubted is the newest announcement that was ignored for its start.
 	doubted *Announcement
@@ -54,7 +54,7 @@
 		starts:   make(chan struct{}, startsAtOnce),
 		stops:    make(chan struct{}, stopsAtOnce),
 		fence:    newFence(time.Now()),
-		sessions: map[string]*session{},
+		sessions: map[sessionKey]*session{},
 		board:    newBoard(),
 	}
 	k.changed()
@@ -98,6 +98,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
+	k.hush()
 	k.lapse()
 	if k.ticks++; k.ticks%forgetTicks == 0 {
 		k.forget()
@@ -111,7 +112,6 @@
 	k.mu.Lock()
 	k.leaving = true
 	k.changed()
-	k.log.Info("shutting down", "runs", k.left())
 	k.mu.Unlock()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -27,7 +28,7 @@
 	delete(l.strays, Running{Task: e.Task, Run: e.Run})
 	r := l.active[e.Task]
 	if r == nil || r.number != e.Run || r.phase == accepted {
-		k.metrics.count("ends", "unknown")
+		k.metrics.ends.Inc("unknown")
 		return
 	}
 	if r.phase == starting {
@@ -54,7 +55,7 @@
 
 // takeRunning takes in what runs. seq is the number of the hold, sent when it
 // was sent.
-func (k *Keeper) takeRunning(l *life, seq uint64, sent time.Duration, report Report) {
+func (k *Keeper) takeRunning(l *life, q Hold, seq uint64, sent time.Duration, report Report) {
 	present := make(map[Running]bool, len(report.Running))
 	for _, at := range report.Running {
 		present[at] = true
@@ -65,7 +66,7 @@
 	}
 	for _, r := range l.active {
 		if !present[Running{Task: r.key.task, Run: r.number}] && seq > r.proof {
-			k.takeAbsent(r, sent)
+			k.takeAbsent(r, q.Fence)
 		}
 	}
 	for at, s := range l.strays {
@@ -75,7 +76,7 @@
 	}
 	if len(l.strays) == 0 && !l.cleared {
 		l.cleared = true
-		k.log.Info("worker cleared", "worker", l.name, "fence", k.fence.number)
+		k.tellLife(event.Cleared, l, millisAttr("tookMillis", k.steady()))
 	}
 }
 
@@ -92,17 +93,15 @@
 	k.addStray(l, at)
 }
 
-// takeAbsent ends a run that the worker neither has nor lists as ended. One
-// whose stops are not acknowledged is stopped on, though its starts are void.
-func (k *Keeper) takeAbsent(r *run, sent time.Duration) {
+// takeAbsent ends a run that the worker neither has nor lists as ended. A start
+// that has not arrived is void once a hold with a higher fence was taken.
+func (k *Keeper) takeAbsent(r *run, fence uint64) {
 	switch {
 	case r.phase == running, r.phase == stopping && r.known, r.phase == barred && r.known:
-		k.log.Warn("run is missing at its worker", r.attrs())
 		k.end(r, wire.RunHow_RUN_HOW_LOST, "missing")
 	case r.phase == barred:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
-	case r.phase == stopping && sent > r.startsUntil:
+	case r.phase == stopping && fence > r.fence:
 		k.end(r, wire.RunHow_RUN_HOW_NOT_STARTED, r.reason)
-		k.addStray(r.life, Running{Task: r.key.task, Run: r.number})
 	}
 }
