--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -2,16 +2,23 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
-// maxJoinRounds bounds how often a renewal has its member logged before it
-// asks the member to come again.
-const maxJoinRounds = 3
+const (
+	// maxJoinRounds bounds how often a renewal has its member logged before it
+	// asks the member to come again.
+	maxJoinRounds = 3
+	// renewAttempt bounds a renewal that is passed on.
+	renewAttempt = 400 * time.Millisecond
+)
 
 // Renew implements wire.Control. A host that does not lead names the leader
 // and grants nothing.
@@ -23,24 +30,59 @@
 		var reply *wire.RenewReply
 		err := c.read(ctx, func(s *state, now time.Time) { reply = s.renew(q, now) })
 		if err != nil {
-			return c.renewElsewhere(err)
+			return c.renewElsewhere(ctx, q, err)
 		}
 		if reply.GetDead() {
 			c.scope.Counter("renew_refused_dead").Inc(1)
 		}
 		if reply != nil {
+			c.nameHosts(q, reply)
 			return reply, nil
 		}
 		if _, err := c.propose(ctx, joinCommand(q.GetMember())); err != nil {
-			return c.renewElsewhere(err)
+			return c.renewElsewhere(ctx, q, err)
 		}
+		c.noteJoined(ctx, q.GetMember())
 	}
 	return &wire.RenewReply{}, nil
 }
 
-func (c *Control) renewElsewhere(err error) (*wire.RenewReply, error) {
-	c.scope.Counter("renew_refused_not_leader").Inc(1)
-	return &wire.RenewReply{Leader: c.leaderAddress(err)}, nil
+// noteJoined logs that a member is in the directory, or has changed there.
+func (c *Control) noteJoined(ctx context.Context, member *wire.Member) {
+	event.MemberJoined.Log(ctx, c.log, slog.String("member", member.GetIncarnation().GetId()),
+		slog.String("peerIncarnation", member.GetIncarnation().Life()), slog.String("role", roleOf(member)),
+		slog.String("address", member.GetAddress()), slog.Bool("leaving", member.GetLeaving()))
+}
+
+func roleOf(member *wire.Member) string {
+	if member.GetRole() == wire.Role_ROLE_ENTRY {
+		return event.PartEntry
+	}
+	return event.PartAgent
+}
+
+// nameHosts tells a member where the group's hosts are, where it knows others.
+func (c *Control) nameHosts(q *wire.RenewRequest, reply *wire.RenewReply) {
+	list := c.hosts.Load()
+	if list.version != q.GetHostsVersion() {
+		reply.HostsVersion = list.version
+		reply.Hosts = list.addresses
+	}
+}
+
+// renewElsewhere names the leader, or passes the renewal on to it.
+func (c *Control) renewElsewhere(ctx context.Context, q *wire.RenewRequest, err error) (*wire.RenewReply, error) {
+	address := c.leaderAddress(err)
+	if !q.GetForward() || address == "" {
+		c.scope.Counter("renew_refused_not_leader").Inc(1)
+		return &wire.RenewReply{Leader: address}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewAttempt)
+	defer cancel()
+	c.scope.Counter("renew_forwarded").Inc(1)
+	passed := proto.CloneOf(q)
+	passed.Forward = false
+	return wire.NewControlProtobufClient("http://"+address, c.client).Renew(ctx, passed)
 }
 
 // Report implements wire.Control.
--- a/lib/process/run.go
+++ b/lib/process/run.go
@@ -38,9 +38,6 @@
 	}
 	ctx, cancel := SignalContext()
 	defer cancel()
-	if err := serve(ctx, f.Settings, NewLogger(w, part, f.LogJSON)); err != nil {
-		fmt.Fprintf(w, "%s: %v\n", part, err)
-		return ExitFailed
-	}
-	return ExitOK
+	log := OpenLog(w, part, f.LogJSON)
+	return log.Stop(serve(ctx, f.Settings, log.Logger()))
 }
