--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -28,6 +28,9 @@
 	renewTimeout = 700 * time.Millisecond
 	// roundPause is the wait after all hosts were asked in vain.
 	roundPause = 100 * time.Millisecond
+	// forwardTime is how long renewals are passed on before the leader is asked
+	// directly again.
+	forwardTime = 3 * time.Second
 )
 
 // Follower renews one member's lease and keeps the newest directory.
@@ -46,6 +49,9 @@
 	rejoined func(*wire.Incarnation)
 	// joining is set until this incarnation has a lease.
 	joining bool
+	// forwardUntil is how long renewals are passed on by another host, as the
+	// leader was silent.
+	forwardUntil time.Time
 	// lost is set while no control host has answered.
 	lost         bool
 	heardAt      time.Time
@@ -167,35 +173,49 @@
 
 // renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
-	for range 2 * len(f.addresses()) {
+	silent := map[string]bool{}
+	for range 2*len(f.addresses()) + 2 {
 		if ctx.Err() != nil {
 			return
 		}
-		if f.renewAt(ctx, f.target()) {
+		address := f.target(silent)
+		if address == "" {
+			break
+		}
+		granted, answered := f.renewAt(ctx, address)
+		if granted {
 			f.regain()
 			return
 		}
+		silent[address] = !answered
+		if !answered {
+			f.forward()
+		}
 	}
 	f.lose(ctx)
 }
 
-// target returns the host to ask next.
-func (f *Follower) target() string {
+// target returns the host to ask next, none where all are silent.
+func (f *Follower) target(silent map[string]bool) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.leader != "" {
+	if f.leader != "" && !silent[f.leader] {
 		return f.leader
 	}
 	all := f.allAddresses()
-	if len(all) == 0 {
-		return ""
+	for range all {
+		address := all[f.next%len(all)]
+		f.next++
+		if !silent[address] {
+			return address
+		}
 	}
-	address := all[f.next%len(all)]
-	f.next++
-	return address
+	return ""
 }
 
-func (f *Follower) renewAt(ctx context.Context, address string) bool {
+// renewAt asks one host. It tells whether the round is over, and whether the
+// host answered at all.
+func (f *Follower) renewAt(ctx context.Context, address string) (over, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	sentAt := time.Now()
@@ -206,15 +226,15 @@
 	defer f.mu.Unlock()
 	f.leader = reply.GetLeader()
 	if !wire.Same(q.GetMember().GetIncarnation(), f.member.GetIncarnation()) {
-		return true
+		return true, true
 	}
 	if err != nil || reply.GetLeaseMillis() == 0 {
 		f.stopIfDead(reply)
-		return reply.GetDead()
+		return reply.GetDead(), err == nil
 	}
 	f.leader = address
 	f.accept(sentAt, reply)
-	return true
+	return true, true
 }
 
 // request asks for what is newer than a directory. An incarnation that has no
@@ -222,7 +242,7 @@
 func (f *Follower) request(directory *wire.Directory) *wire.RenewRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion}
+	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion, Forward: time.Now().Before(f.forwardUntil)}
 	if !f.joining {
 		q.DirectoryVersion = directory.GetVersion()
 		q.ConfigVersion = directory.GetConfigVersion()
--- a/lib/membership/hosts.go
+++ b/lib/membership/hosts.go
@@ -116,3 +116,12 @@
 	}
 	return time.Since(f.heardAt).Milliseconds()
 }
+
+// forward has the next renewals passed on to the leader: the link to it may be
+// cut while other hosts reach it.
+func (f *Follower) forward() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forwardUntil = time.Now().Add(forwardTime)
+	f.leader = ""
+}
--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -116,7 +116,8 @@
 		n.lead(now)
 		return
 	}
-	if n.leader != "" && now.Sub(n.heardAt) > 2*n.cfg.Timing.Election {
+	if n.leader != "" && now.Sub(n.heardAt) > n.cfg.Timing.Election {
+		noteLeader(n.log, "", reasonSilent, slog.String("former", n.leader), slog.Int64("silentMillis", now.Sub(n.heardAt).Milliseconds()))
 		n.leader = ""
 	}
 	if !now.Before(n.meetAt) && (n.store.fresh() || n.leader == "") {
@@ -125,7 +126,7 @@
 		n.foundFromSeeds()
 	}
 	if !now.Before(n.campaignAt) {
-		n.delayCampaign(now)
+		n.campaignAt = now.Add(n.cfg.Timing.Election/5 + rand.N(n.cfg.Timing.Election/2))
 		n.campaign(true)
 	}
 }
