--- a/lib/lease/session.go
+++ b/lib/lease/session.go
@@ -12,13 +12,25 @@
 	entry *wire.Incarnation
 	alive bool
 	// until is the reading of the agent's clock at which it ends.
-	until   time.Duration
-	records map[runKey]*record
-	ends    []*wire.RunEnd
+	until time.Duration
+	// renewedAt is when the last call came that renewed it.
+	renewedAt time.Duration
+	records   map[runKey]*record
+	ends      []*wire.RunEnd
 	// wake is closed, and made anew, with each end.
 	wake chan struct{}
-	// former numbers of incarnations of the same entry.
-	former []uint64
+	// replaced is set once another incarnation of the entry has taken over.
+	replaced bool
+}
+
+// sessionKey names an incarnation of an entry.
+type sessionKey struct {
+	id     string
+	number uint64
+}
+
+func keyOfEntry(entry *wire.Incarnation) sessionKey {
+	return sessionKey{entry.GetId(), entry.GetNumber()}
 }
 
 // record is the agent's answer to a launch, kept so that it stays the same.
