One name for a worker in a story, one way to count by reason

Change: explain takes a worker's life off its name (entries tell it, agents don't); lines of agents, which name the task but not the job, are sampled by the job too; lib/job counts by lib/metric; how a run ended is one word in lib/wire. The test that each event is logged covers agents again. Tests: lib/job, lib/lease, lib/event, lib/process, internal with the race detector.

--- a/internal/story/cause_failed.go
+++ b/internal/story/cause_failed.go
@@ -11,7 +11,7 @@
 		return fmt.Sprintf("A task asks for more than any worker has (%s).", orUnknown(end.Fields["need"]))
 	}),
 	reasonIs("invalid", "invalid", func(_ *Story, end *Line) string {
-		return fmt.Sprintf("Worker %s can't read the order of a task.", orUnknown(end.Fields[fieldWorker]))
+		return fmt.Sprintf("Worker %s can't read the order of a task.", orUnknown(end.Worker()))
 	}),
 	{"oneWorker", func(s *Story) string {
 		failed := failedRuns(s)
--- a/internal/story/cause_late.go
+++ b/internal/story/cause_late.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	for _, l := range s.of(event.WorkerSilent, event.WorkerNewLife, event.AgentLost, event.AgentRestarted, event.SessionEnded, event.MemberDead) {
-		about := l.Fields[fieldWorker] == r.Worker && r.Worker != "" ||
+		about := l.Worker() == r.Worker && r.Worker != "" ||
 			r.Agent != "" && (l.Fields[fieldAgent] == r.Agent || l.Fields["member"] == r.Agent) ||
 			l.is(event.SessionEnded) && l.Process == r.Agent && l.Fields[fieldEntry] == r.entry.process
 		if about && !l.At.Before(r.first().At) && (r.Ended == nil || !l.At.After(r.Ended.At.Add(after))) {
@@ -161,7 +161,7 @@
 func explainUnanswered(s *Story) string {
 	for _, l := range s.of(event.OrderUnanswered, event.LaunchUnanswered, event.HaltUnanswered) {
 		if s.Own(l) {
-			return fmt.Sprintf("%s got no answer: %s Worker %s, %s.", l.Process, l.Sentence(), orUnknown(l.Fields[fieldWorker]), runsText(l))
+			return fmt.Sprintf("%s got no answer: %s Worker %s, %s.", l.Process, l.Sentence(), orUnknown(l.Worker()), runsText(l))
 		}
 	}
 	return ""
--- a/internal/story/cause_refused.go
+++ b/internal/story/cause_refused.go
@@ -79,7 +79,7 @@
 	out := map[string]bool{}
 	for _, l := range s.of(event.WorkerEjected, event.WorkerReadmitted) {
 		if l.Process == end.Process && !l.At.After(end.At) {
-			out[l.Fields[fieldWorker]] = l.is(event.WorkerEjected)
+			out[l.Worker()] = l.is(event.WorkerEjected)
 		}
 	}
 	if n := count(out); n > 0 && !hasRoom(end) {
--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -86,6 +86,12 @@
 	return l.Message
 }
 
+// Worker returns the worker that the line names, without its life.
+func (l *Line) Worker() string {
+	worker, _, _ := strings.Cut(l.Fields[fieldWorker], "@")
+	return worker
+}
+
 // Millis returns a number of a field, 0 where there is none.
 func (l *Line) Millis(field string) int64 {
 	n, _ := strconv.ParseFloat(l.Fields[field], 64)
--- a/internal/story/run.go
+++ b/internal/story/run.go
@@ -166,7 +166,7 @@
 }
 
 func (r *Run) take(l *Line) {
-	if worker := l.Fields[fieldWorker]; worker != "" {
+	if worker := l.Worker(); worker != "" {
 		r.Worker = worker
 	}
 	if agent := l.Fields[fieldAgent]; agent != "" {
--- a/internal/story/select.go
+++ b/internal/story/select.go
@@ -69,13 +69,21 @@
 	for l := range own {
 		peers[l.Process] = true
 		for _, field := range peerFields {
-			peers[l.Fields[field]] = true
+			peers[l.named(field)] = true
 		}
 	}
 	delete(peers, "")
 	return peers
 }
 
+// named returns the process or worker that a field names.
+func (l *Line) named(field string) string {
+	if field == fieldWorker {
+		return l.Worker()
+	}
+	return l.Fields[field]
+}
+
 // bears tells whether a line that doesn't name the request may matter to it.
 func bears(l *Line, peers map[string]bool) bool {
 	if l.Job() != "" || !tellsChange(l) {
@@ -85,7 +93,7 @@
 		return true
 	}
 	for _, field := range peerFields {
-		if peers[l.Fields[field]] {
+		if peers[l.named(field)] {
 			return true
 		}
 	}
@@ -113,7 +121,7 @@
 			break
 		}
 		for i, c := range conditions {
-			k := key{i, l.Process, l.Fields[c.field]}
+			k := key{i, l.Process, l.named(c.field)}
 			switch {
 			case l.is(c.begins) && (c.when == nil || c.when(l)):
 				latest[k] = l
--- a/lib/event/source_test.go
+++ b/lib/event/source_test.go
@@ -19,8 +19,7 @@
 
 // TestSourcesKeepToCatalogue looks at each call that names an event: the
 // attributes that it names must be fields of the event. Each event must be
-// logged somewhere. Those of agents are not asked for until lib/lease logs
-// them.
+// logged somewhere.
 func TestSourcesKeepToCatalogue(t *testing.T) {
 	is := is.New(t)
 	used := map[*Event]bool{}
@@ -48,7 +47,7 @@
 	})
 	is.NoErr(err)
 	for _, e := range All() {
-		if !used[e] && e.Part() != PartAgent {
+		if !used[e] {
 			t.Errorf("nothing logs %s", e.Name())
 		}
 	}
--- a/lib/job/metrics.go
+++ b/lib/job/metrics.go
@@ -1,16 +1,18 @@
 package job
 
 import (
-	"sync"
-	"time"
-
 	"github.com/uber-go/tally/v4"
+
+	"skylarklane.example/lib/metric"
 )
 
-// metrics counts what the desk decides. Counters are made when first used.
+// metrics are what a desk counts.
 type metrics struct {
-	scope    tally.Scope
-	counters sync.Map
+	// refusals of jobs, of runs by agents, and ejections of workers, by reason.
+	refusals *metric.Counters
+	retries  *metric.Counters
+	failures *metric.Counters
+	halts    *metric.Counters
 	// waited is from a job's receipt to its first start, ran from a launch to
 	// its end, answered from the last end to the answer.
 	waited   tally.Histogram
@@ -21,27 +23,20 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return &metrics{
-		scope:    scope,
-		waited:   scope.Histogram("received_to_started", buckets),
-		ran:      scope.Histogram("started_to_ended", buckets),
-		answered: scope.Histogram("ended_to_answered", buckets),
+		refusals: metric.Reasons(scope, "job_refusals"),
+		retries:  metric.Reasons(scope, "job_retries"),
+		failures: metric.Reasons(scope, "job_failures"),
+		halts:    metric.Reasons(scope, "job_halts"),
+		waited:   metric.Durations(scope, "received_to_started"),
+		ran:      metric.Durations(scope, "started_to_ended"),
+		answered: metric.Durations(scope, "ended_to_answered"),
 		queued:   scope.Gauge("jobs_queued"),
 		open:     scope.Gauge("jobs_open"),
 	}
 }
 
-func (m *metrics) refusal(reason string) { m.count("job_refusals", reason) }
-func (m *metrics) retry(reason string)   { m.count("job_retries", reason) }
-func (m *metrics) failure(reason string) { m.count("job_failures", reason) }
-func (m *metrics) halt(reason string)    { m.count("job_halts", reason) }
-
-func (m *metrics) count(name, reason string) {
-	key := name + " " + reason
-	counter, ok := m.counters.Load(key)
-	if !ok {
-		counter, _ = m.counters.LoadOrStore(key, m.scope.Tagged(map[string]string{"reason": reason}).Counter(name))
-	}
-	counter.(tally.Counter).Inc(1)
-}
+func (m *metrics) refusal(reason string) { m.refusals.Inc(reason) }
+func (m *metrics) retry(reason string)   { m.retries.Inc(reason) }
+func (m *metrics) failure(reason string) { m.failures.Inc(reason) }
+func (m *metrics) halt(reason string)    { m.halts.Inc(reason) }
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -100,7 +100,7 @@
 	k.lastEnd++
 	r.session.addEnd(k.lastEnd, r.key, how, reason, ran)
 	k.metrics.ends.Inc(cmp.Or(reason, "done"))
-	k.tellRun(event.RunFinished, r, slog.String("how", word(how)), reasonAttr(reason), millisAttr("runMillis", ran))
+	k.tellRun(event.RunFinished, r, slog.String("how", how.Word()), reasonAttr(reason), millisAttr("runMillis", ran))
 	if l.waiting[task] == r {
 		delete(l.waiting, task)
 		return
--- a/lib/lease/tell.go
+++ b/lib/lease/tell.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"strings"
 	"time"
 
 	"skylarklane.example/lib/capacity"
 	"skylarklane.example/lib/event"
-	"skylarklane.example/lib/wire"
 )
 
 // tell logs one event.
@@ -84,9 +82,3 @@
 func amountAttr(key string, v capacity.Vector) slog.Attr {
 	return slog.String(key, fmt.Sprintf("%d,%d,%d", v.CPUMillis, v.MemoryMB, v.Accelerators))
 }
-
-// word is how a run ended as a camelCase word.
-func word(how wire.RunHow) string {
-	name := strings.ToLower(strings.TrimPrefix(how.String(), "RUN_HOW_"))
-	return strings.Replace(name, "not_started", "notStarted", 1)
-}
--- a/lib/process/log_handler.go
+++ b/lib/process/log_handler.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"strings"
 
 	"skylarklane.example/lib/event"
 )
@@ -12,6 +13,7 @@
 // Attributes that the handler reads or adds.
 const (
 	logJob     = "job"
+	logTask    = "task"
 	logUp      = "up"
 	logSampled = "sampled"
 )
@@ -59,7 +61,8 @@
 	return h.inner[p].Handle(ctx, r)
 }
 
-// look finds the event and the job of a line.
+// look finds the event and the job of a line. Tasks are named
+// JOB.OCCURRENCE.STEP.INDEX.
 func (h *boundedHandler) look(r slog.Record) (*event.Event, string) {
 	var e *event.Event
 	job := h.job
@@ -69,6 +72,10 @@
 			e = event.Of(a.Value)
 		case logJob:
 			job = a.Value.String()
+		case logTask:
+			if job == "" {
+				job, _, _ = strings.Cut(a.Value.String(), ".")
+			}
 		}
 		return e == nil || job == ""
 	})
