--- a/lib/quorum/choice.go
+++ b/lib/quorum/choice.go
@@ -1,9 +1,12 @@
 package quorum
 
 import (
+	"context"
+	"log/slog"
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -66,7 +69,7 @@
 	}
 	if r.choice.founder != nil && slices.Contains(r.seeds, r.cfg.Address) && named == len(r.seeds)-1 {
 		r.choice.fixed = true
-		r.log.Info("Fixed the founder of the group.", "host", r.choice.founder.GetId(), "address", r.choice.founder.GetAddress())
+		event.FounderChosen.Log(context.Background(), r.log, slog.String("host", r.choice.founder.GetId()), slog.String("address", r.choice.founder.GetAddress()))
 		return
 	}
 	r.choice.lower(r.cfg.Now())
--- a/lib/quorum/election.go
+++ b/lib/quorum/election.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
 
@@ -27,7 +29,7 @@
 		n.store.setVote(&wire.LogVote{Term: term, Candidate: n.cfg.ID, CandidateFolder: n.store.identity.GetFolder()})
 		n.leader = ""
 		n.campaignAt = n.cfg.Now().Add(n.cfg.Timing.Election/2 + rand.N(n.cfg.Timing.Election))
-		n.log.Info("Standing for election.", "term", term)
+		n.note(event.ElectionStarted, slog.Uint64("term", term))
 	}
 	n.poll = &poll{pre: pre, term: term, granted: map[string]bool{n.cfg.ID: true}, until: n.cfg.Now().Add(n.cfg.Timing.Election / 5)}
 	request := &wire.VoteRequest{
