--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"skylarklane.example/lib/placement"
@@ -12,8 +13,21 @@
 	retryAfter = 500 * time.Millisecond
 	// attemptsKept is how long attempt numbers of an ended job are remembered.
 	attemptsKept = 30 * time.Second
+	// seenKept is how long a worker that went is still reckoned with.
+	seenKept = time.Minute
 )
 
+// seenWorker is what a worker of a service was like, and when it was there
+// last.
+type seenWorker struct {
+	placement.Candidate
+	at time.Duration
+}
+
+func (s seenWorker) like(other seenWorker) bool {
+	return s.Capacity == other.Capacity && slices.Equal(s.Labels, other.Labels)
+}
+
 // attemptMark is the highest attempt of the tasks of an ended job.
 type attemptMark struct {
 	attempt uint32
@@ -53,9 +67,6 @@
 		d.metrics.refusal(reasonInvalid)
 		return nil, nil, Outcome{State: Failed, Reason: reasonInvalid}
 	}
-	if len(d.serving(j.Service)) == 0 {
-		return nil, nil, d.refuse(j, reasonNoWorkers)
-	}
 	return d.take(j), nil, Outcome{}
 }
 
@@ -70,6 +81,7 @@
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
 	d.noteReceived(w)
+	d.noteSeen(now)
 	if d.neverFits(w) {
 		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
 		return w
@@ -120,14 +132,17 @@
 	return max(best, 0.01)
 }
 
-// neverFits tells whether a step needs more than any worker of the service has,
-// where all agents are known.
+// neverFits tells whether a step needs more than any worker of the service has
+// or had lately, where all agents are known.
 func (d *Desk) neverFits(w *work) bool {
 	for _, l := range d.links {
 		if !l.gone && !l.watching() {
 			return false
 		}
 	}
+	if len(d.seen[w.Service]) == 0 {
+		return false
+	}
 	for _, s := range w.steps {
 		if !d.fitsSomewhere(w, s) {
 			return true
@@ -138,10 +153,28 @@
 
 func (d *Desk) fitsSomewhere(w *work, s *step) bool {
 	wish := placement.Wish{Need: s.need, Label: s.Label}
-	for _, l := range d.serving(w.Service) {
-		if wish.Holds(placement.Candidate{Capacity: l.capacity, Labels: l.word.GetLabels()}) {
-			return true
+	return slices.ContainsFunc(d.seen[w.Service], func(one seenWorker) bool { return wish.Holds(one.Candidate) })
+}
+
+// noteSeen remembers what the workers are like, and forgets those that have
+// been away for long.
+func (d *Desk) noteSeen(now time.Duration) {
+	for _, l := range d.links {
+		if l.watching() && !l.gone {
+			d.see(l.word.GetService(), seenWorker{placement.Candidate{Capacity: l.capacity, Labels: l.word.GetLabels()}, now})
 		}
 	}
-	return false
+	for service, workers := range d.seen {
+		d.seen[service] = slices.DeleteFunc(workers, func(one seenWorker) bool { return now-one.at > seenKept })
+	}
+}
+
+// see remembers one worker, once for all that are alike.
+func (d *Desk) see(service string, worker seenWorker) {
+	i := slices.IndexFunc(d.seen[service], worker.like)
+	if i < 0 {
+		d.seen[service] = append(d.seen[service], worker)
+		return
+	}
+	d.seen[service][i].at = worker.at
 }
--- a/lib/job/desk.go
+++ b/lib/job/desk.go
@@ -66,10 +66,12 @@
 	// links by member id.
 	links map[string]*link
 	// jobs by id, until the last of their runs is settled.
-	jobs     map[string]*work
-	queue    []*work
-	kinds    map[string]*kind
-	delays   map[delayKey]delay
+	jobs   map[string]*work
+	queue  []*work
+	kinds  map[string]*kind
+	delays map[delayKey]delay
+	// seen lists what the workers of each service are or were like.
+	seen     map[string][]seenWorker
 	attempts map[string]attemptMark
 	leaving  bool
 	sequence uint64
@@ -104,6 +106,7 @@
 		jobs:     map[string]*work{},
 		kinds:    map[string]*kind{},
 		delays:   map[delayKey]delay{},
+		seen:     map[string][]seenWorker{},
 		attempts: map[string]attemptMark{},
 		tickedAt: c.Now(),
 	}
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// silentAfter is the time without an answer from which an agent gets no
-	// launches and its session is not renewed.
+	// silentAfter is the time without an answer from which an agent counts as
+	// silent.
 	silentAfter = 400 * time.Millisecond
-	// staleAfter is the age of an agent's word from which it isn't used.
-	staleAfter = 300 * time.Millisecond
+	// staleAfter is the age of an agent's answer from which it gets no launches.
+	staleAfter = 150 * time.Millisecond
 	// sessionMargin is how long before its end a session isn't used any more.
 	sessionMargin = 100 * time.Millisecond
 	// renewPatience is how long a halt may be unacknowledged while the session
@@ -24,8 +24,6 @@
 	// haltPatience is how long it may be unacknowledged while the agent still
 	// gets launches.
 	haltPatience = 250 * time.Millisecond
-	// driftPart bounds how far clocks may run apart: a twentieth.
-	driftPart = 20
 )
 
 // runKey names a run at an agent.
@@ -55,6 +53,8 @@
 	unanswered capacity.Vector
 	wordAt     time.Duration
 	answeredAt time.Duration
+	// failing is set while the last Watch was not answered.
+	failing bool
 	// lost is set while the agent's silence is logged, and before its first
 	// answer.
 	lost bool
@@ -105,7 +105,7 @@
 // renewUntil returns up to which reading of the agent's clock a Watch that is
 // sent now renews the session; 0 renews nothing.
 func (l *link) renewUntil(now time.Duration) int64 {
-	if l.agent == nil || l.silent(now) || l.halter.overdue(now, renewPatience) {
+	if l.agent == nil || l.failing || l.silent(now) || l.halter.overdue(now, renewPatience) {
 		return 0
 	}
 	return l.agentMillis(now) + wire.SessionLength.Milliseconds()
@@ -114,7 +114,7 @@
 // surelyEnded returns when all runs under the session have ended even if the
 // agent is never heard of again.
 func (l *link) surelyEnded() time.Duration {
-	return l.sessionEnd + wire.LeaseAhead + (wire.SessionLength+wire.LeaseAhead)/driftPart
+	return l.sessionEnd + wire.RunGrace
 }
 
 // room is the free capacity that the desk reckons with.
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -13,6 +13,9 @@
 // whatever its prospects are.
 const heldPart = 8
 
+// workersPatience is how long a job waits while no worker takes runs.
+const workersPatience = 200 * time.Millisecond
+
 // enqueue has the pending tasks of a job placed when there is room.
 func (d *Desk) enqueue(w *work) {
 	if w.answered || w.queued || len(w.pending) == 0 {
@@ -86,7 +89,7 @@
 			b = d.backlog(w.Service, now)
 		}
 		if w.live == 0 && w.hopeless(b, d.delays[w.delayKey()].value(now), now) {
-			d.giveUp(w, reasonHopeless)
+			d.giveUp(w, hopelessReason(b))
 		} else {
 			b.Ahead += w.size()
 		}
@@ -94,15 +97,26 @@
 	}
 }
 
+// hopelessReason is why a job is given up with this work before it.
+func hopelessReason(b placement.Backlog) string {
+	if b.Capacity == 0 {
+		return reasonNoWorkers
+	}
+	return reasonHopeless
+}
+
 // hopeless tells whether a job with this work before it will hardly end while
 // it is worth something. Once it was held for a while, it must be likely to
 // make its objective.
 func (w *work) hopeless(b placement.Backlog, delay, now time.Duration) bool {
 	last := w.lastAt()
+	waited := now - w.receivedAt
+	if b.Capacity == 0 && waited > workersPatience {
+		return true
+	}
 	if last == never || w.choosy {
 		return false
 	}
-	waited := now - w.receivedAt
 	held := w.startedAt == 0 && waited > w.objective.Due/heldPart
 	if held {
 		last = min(last, w.dueAt())
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -42,6 +42,7 @@
 			d.connect(member)
 		}
 	}
+	d.noteSeen(d.clock.Now())
 	for id, l := range d.links {
 		l.gone = !listed[id]
 		if l.gone && len(l.runs)+len(l.orphans) == 0 {
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -10,9 +10,9 @@
 
 const (
 	// watchWait is how long a Watch waits for news at the agent.
-	watchWait = 150 * time.Millisecond
+	watchWait = 80 * time.Millisecond
 	// watchTimeout bounds a Watch as a whole.
-	watchTimeout = watchWait + 150*time.Millisecond
+	watchTimeout = watchWait + 120*time.Millisecond
 	// shortestBackoff and longestBackoff bound the wait after a failed call.
 	shortestBackoff = 20 * time.Millisecond
 	longestBackoff  = 100 * time.Millisecond
@@ -53,7 +53,7 @@
 		WaitMillis:       watchWait.Milliseconds(),
 		RenewUntilMillis: l.renewUntil(now),
 	}
-	if l.silent(now) {
+	if l.failing || l.silent(now) {
 		q.WaitMillis = 0
 	}
 	if q.RenewUntilMillis != 0 {
@@ -66,6 +66,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l.dropConnections()
+	l.failing = true
 	d.metrics.retry("watch")
 	d.log.Debug("A watch has failed.", "agent", l.member.GetIncarnation().GetId(),
 		"lastAnswerAgeMillis", (d.clock.Now() - l.answeredAt).Milliseconds(), "error", err)
@@ -81,6 +82,7 @@
 	}
 	l.noteRegained(now)
 	l.answeredAt = now
+	l.failing = false
 	l.clockMillis = reply.GetClockMillis()
 	l.clockAt = now
 	l.sessionMillis = reply.GetSessionUntilMillis()
