Desk: what a held job still needs is reckoned at the best worker

Change: both count the best worker. TestHopeless, 'held, fast workers', fails without it by its figures: 100 + 400 ms against 380 ms. Run: go test ./lib/job passes.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -77,7 +77,8 @@
 	d.sequence++
 	w.sequence = d.sequence
 	w.count(d.capacityOf(j.Service))
-	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * d.bestFactor(j.Service, now))
+	w.best = d.bestFactor(j.Service, now)
+	w.ideal = w.remaining()
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
 	d.noteReceived(w)
@@ -129,7 +130,10 @@
 			best = f
 		}
 	}
-	return max(best, 0.01)
+	if best == 0 {
+		return 1
+	}
+	return best
 }
 
 // neverFits tells whether a step needs more than any worker of the service has
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -128,8 +128,10 @@
 	return now+wait+w.remaining() > last
 }
 
-// remaining is the least time that the job still needs.
-func (w *work) remaining() time.Duration { return w.kind.expected(w.chain()) }
+// remaining is the least time that the job still needs, at a good worker.
+func (w *work) remaining() time.Duration {
+	return time.Duration(float64(w.kind.expected(w.chain())) * w.best)
+}
 
 // backlog sums up the service's workers and the entry's own runs there.
 func (d *Desk) backlog(service string, now time.Duration) placement.Backlog {
--- a/lib/job/work.go
+++ b/lib/job/work.go
@@ -24,6 +24,8 @@
 	sequence   uint64
 	receivedAt time.Duration
 	deadlineAt time.Duration
+	// best is the speed factor of the best worker when the job came in.
+	best float64
 	// ideal is the expected time of its longest chain at a good worker.
 	ideal     time.Duration
 	objective placement.Objective
