--- a/lib/quorum/state.go
+++ b/lib/quorum/state.go
@@ -32,6 +32,9 @@
 	meets     map[string]*wire.MeetReply
 	metBefore map[string]*wire.MeetReply
 	meetRound uint64
+	// met is the leader of a group that this host is not in, heard of at metAt.
+	met   *wire.LogHost
+	metAt time.Time
 	// seeds are the ones in force; known are other addresses, oldest first.
 	seeds []string
 	known []string
@@ -117,7 +120,7 @@
 		return
 	}
 	if n.leader != "" && now.Sub(n.heardAt) > n.cfg.Timing.Election {
-		n.log.Info("The leader is silent.", "leader", n.leader, "silentMillis", now.Sub(n.heardAt).Milliseconds())
+		noteLeader(n.log, "", reasonSilent, slog.String("former", n.leader), slog.Int64("silentMillis", now.Sub(n.heardAt).Milliseconds()))
 		n.leader = ""
 	}
 	if !now.Before(n.meetAt) && (n.store.fresh() || n.leader == "") {
