--- a/lib/job/desk_test.go
+++ b/lib/job/desk_test.go
@@ -268,6 +268,50 @@
 	})
 }
 
+// TestDrain has a worker drain while a job runs there: its run ends there, and
+// new tasks go elsewhere.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newFake("a", 2000, takes(200*time.Millisecond)), newFake("b", 2000, takes(200*time.Millisecond))
+		b.accepting = false
+		d := newDesk(t, a, b)
+		j := newJob("j1", 1)
+		j.Steps = append(j.Steps, Step{Count: 2, Need: j.Steps[0].Need, After: []int{0}})
+		out := submit(t.Context(), d, j)
+		time.Sleep(50 * time.Millisecond)
+		a.set(func() { a.accepting = false })
+		b.set(func() { b.accepting = true })
+		is.Equal(<-out, Outcome{State: Complete})
+		is.Equal(a.started(), 1)
+		is.Equal(b.started(), 2)
+	})
+}
+
+// TestStopped has the process stopped for long: jobs at hand are given up, and
+// what was not started is not run.
+func TestStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 1000, takes(300*time.Millisecond))
+		d := newDesk(t, a)
+		running, waiting := submit(t.Context(), d, newJob("running", 1)), submit(t.Context(), d, newJob("waiting", 1))
+		time.Sleep(10 * time.Millisecond)
+		d.mu.Lock()
+		d.tickedAt -= gapTooLong // as if no tick had come for so long
+		d.mu.Unlock()
+		first, second := <-running, <-waiting
+		if first.State == NotRun {
+			first, second = second, first
+		}
+		is.Equal(first, Outcome{State: Abandoned, Reason: reasonGap})
+		is.Equal(second.State, NotRun)
+		is.Equal(second.Reason, reasonGap)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(a.live(), 0)
+	})
+}
+
 func TestShutdown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
