--- a/lib/lease/settle_test.go
+++ b/lib/lease/settle_test.go
@@ -234,3 +234,23 @@
 		d.Equal(late().Refusal, RefusedFence)
 	})
 }
+
+func TestSuccessorThatNoOneKnewOfGrantsMore(t *testing.T) {
+	onDesk(t, func(d *desk) {
+		d.w.set(func() { d.w.began = d.w.began.Add(-10 * time.Second) })
+		d.announce(d.w)
+		next := newFakeWorker("w1", 3000)
+		d.w.set(func() {
+			d.w.onStart = func(q Start, _ func() Answer) (Answer, error) { return next.applyStart(q), nil }
+			d.w.onHold = unanswered[Hold, Report]
+		})
+		d.live(entryOne, 400)
+		d.accepts(entryOne, 1, "a")
+		reply := d.live(entryOne, 50)
+		for len(reply.GetEnds()) == 0 {
+			reply = d.live(entryOne, 50)
+		}
+		d.Equal(endsOf(reply), map[runKey]string{{"a", 1}: "LOST workerSilent"})
+		d.Equal(next.running(), nil)
+	})
+}
