--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -88,7 +88,7 @@
 		if !s.Own(l) {
 			mark = "|"
 		}
-		fmt.Fprintf(&b, "%+7d ms %s %s  %s\n", l.At.Sub(s.Start()).Milliseconds(), mark, l.Process, textOf(l, c.ID))
+		fmt.Fprintf(&b, "%+7d ms %s %s  %s\n", l.At.Sub(s.Start()).Milliseconds(), mark, l.Name(), textOf(l, c.ID))
 	}
 	if len(s.NotSeen) > 0 {
 		b.WriteString("\nNot seen:\n")
--- a/internal/story/cause_late.go
+++ b/internal/story/cause_late.go
@@ -212,13 +212,18 @@
 		case l.is(event.Stopping, event.Stopped, event.Failed) && l.owner() == j.owner,
 			l.is(event.MemberDead) && l.Fields["member"] == j.owner.process:
 			return fmt.Sprintf("Entry %s was lost with the job: %s", j.Entry(), sentenceOf(l))
-		case l.is(event.ProcessStarted) && l.Process == j.owner.process && l.Incarnation != j.owner.incarnation:
+		case l.is(event.ProcessStarted) && l.owner().isNext(j.owner):
 			return fmt.Sprintf("Entry %s was lost with the job: it started anew as incarnation %s.", j.Entry(), l.Incarnation)
 		}
 	}
 	return ""
 }
 
+// isNext tells whether o is another incarnation of the process.
+func (o owner) isNext(former owner) bool {
+	return o.process == former.process && o.part == former.part && o.incarnation != former.incarnation
+}
+
 // sentenceOf returns a line's sentence and its reason.
 func sentenceOf(l *Line) string {
 	if reason := l.Fields[fieldReason]; reason != "" {
--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -72,16 +72,31 @@
 	if e := event.Lookup(l.Event); e != nil && e.Part() != event.PartAll {
 		return e.Part()
 	}
+	return l.prefix()
+}
+
+// prefix returns the part that the message starts with, empty where there is
+// none.
+func (l *Line) prefix() string {
 	if part, _, ok := strings.Cut(l.Message, ": "); ok && isWord(part) {
 		return part
 	}
 	return ""
 }
 
+// Name returns the process, and its part where two of one name may run on one
+// machine.
+func (l *Line) Name() string {
+	if part := l.prefix(); part != "" && !strings.HasPrefix(l.Process, part) {
+		return l.Process + "/" + part
+	}
+	return l.Process
+}
+
 // Sentence returns the message without the part.
 func (l *Line) Sentence() string {
-	if part, sentence, ok := strings.Cut(l.Message, ": "); ok && isWord(part) {
-		return sentence
+	if part := l.prefix(); part != "" {
+		return l.Message[len(part)+len(": "):]
 	}
 	return l.Message
 }
@@ -99,11 +114,12 @@
 }
 
 // owner names the process and its incarnation.
-func (l *Line) owner() owner { return owner{l.Process, l.Incarnation} }
+func (l *Line) owner() owner { return owner{l.Process, l.prefix(), l.Incarnation} }
 
 // owner is one incarnation of a process.
 type owner struct {
 	process     string
+	part        string
 	incarnation string
 }
 
--- a/internal/story/log.go
+++ b/internal/story/log.go
@@ -18,14 +18,16 @@
 type Log struct {
 	id    ID
 	lines []*Line
-	// seen holds the last line of each process, whatever it is about.
+	// seen holds the last line of each process by its name with its part,
+	// whatever it is about, and ids the processes' own names.
 	seen map[string]*Line
+	ids  map[string]bool
 	read int
 }
 
 // NewLog returns a log for the story of id, the name of a job, a task or a run.
 func NewLog(id string) *Log {
-	return &Log{id: parseID(id), seen: map[string]*Line{}}
+	return &Log{id: parseID(id), seen: map[string]*Line{}, ids: map[string]bool{}}
 }
 
 // Read takes the lines of one file in; name stands for it in the story.
@@ -48,8 +50,9 @@
 func (l *Log) take(line *Line) {
 	l.read++
 	line.number = l.read
-	if last := l.seen[line.Process]; last == nil || !line.At.Before(last.At) {
-		l.seen[line.Process] = line
+	l.ids[line.Process] = true
+	if last := l.seen[line.Name()]; last == nil || !line.At.Before(last.At) {
+		l.seen[line.Name()] = line
 	}
 	job := line.Job()
 	if job == l.id.job || job == "" && isChange(line) {
--- a/internal/story/missing.go
+++ b/internal/story/missing.go
@@ -27,7 +27,7 @@
 		}
 	}
 	for _, agent := range agentsOf(s) {
-		if log.seen[agent] == nil {
+		if !log.ids[agent] {
 			add("no line from agent %s", agent)
 		}
 	}
@@ -59,8 +59,8 @@
 			continue
 		}
 		last = l.At
-		if !slices.Contains(peers, l.Process) {
-			peers = append(peers, l.Process)
+		if !slices.Contains(peers, l.Name()) {
+			peers = append(peers, l.Name())
 		}
 	}
 	var silent []string
