The line of a started process claims no more than that it listens

Cause: 'Ready.' was logged before an entry takes work. Change: processStarted says 'Listening.'; routesInForce tells when an entry on a platform takes work. The harnesses that wait for the line look at its event, not at its sentence. Tests: TestWholePath, TestCommands, TestFlippedBit, TestHealth; load/internal/fleet.

--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -5,7 +5,7 @@
 // What entries log.
 var (
 	RoutesInForce = ofEntry.change("routesInForce", "Routes are in force.",
-		"From now on callers' requests are led by this configuration.", version)
+		"From now on callers' requests are led by this configuration; with the first one the entry takes work.", version)
 	JobReceived = ofEntry.success("jobReceived", "A job came in.",
 		"A caller's job was read and will be answered by this entry.",
 		job, service, kind, Field{"tasks", "tasks of the job"}, Field{"idealMillis", "expected time at a good worker"}, due, deadline, queue)
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -6,9 +6,9 @@
 
 // What every process logs.
 var (
-	ProcessStarted = ofAll.change("processStarted", "Ready.",
-		"The settings were read and the process listens.",
-		Field{"version", "version of the program"}, address, Field{"dataCentre", "data centre"}, Field{"rack", "rack"}, Field{"announce", "address for announcements"}, Field{"metrics", "address of the metrics page"})
+	ProcessStarted = ofAll.change("processStarted", "Listening.",
+		"The settings were read and the process listens. An entry takes work only once a configuration is in force.",
+		Field{"version", "version of the program"}, address, Field{"dataCentre", "data centre"}, Field{"rack", "rack"}, Field{"announce", "address for announcements"}, Field{"announces", "addresses for announcements, of many agents in one process"}, Field{"metrics", "address of the metrics page"})
 	Stopping = ofAll.change("stopping", "The process is leaving.",
 		"It takes nothing new and finishes what is in flight.", reason, Field{"inFlight", "requests or runs in flight"}, Field{"graceMillis", "how long it has"})
 	CutOff = ofAll.warning(Failure, "cutOff", "Work was cut off.",
--- a/load/internal/fleet/agents.go
+++ b/load/internal/fleet/agents.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"skylarklane.example/lib/agent"
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/standin"
 	"skylarklane.example/lib/wire"
 )
@@ -25,7 +26,7 @@
 	for range n {
 		list = append(list, <-announces)
 	}
-	log.Info("Ready.", "announces", list)
+	event.ProcessStarted.Log(ctx, log, slog.Any("announces", list))
 	all.Wait()
 }
 
--- a/load/internal/fleet/process.go
+++ b/load/internal/fleet/process.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"skylarklane.example/lib/event"
 )
 
 const (
@@ -36,7 +38,7 @@
 
 // readyLine is the log line by which a program says that it serves.
 type readyLine struct {
-	Message  string `json:"msg"`
+	Event    string `json:"event"`
 	Address  string `json:"address"`
 	Announce string `json:"announce"`
 	// Announces are the addresses of many agents in one process.
@@ -118,7 +120,7 @@
 	}
 	p.mu.Unlock()
 	var line readyLine
-	if json.Unmarshal([]byte(text), &line) != nil || !strings.HasSuffix(line.Message, ": Ready.") {
+	if json.Unmarshal([]byte(text), &line) != nil || line.Event != event.ProcessStarted.Name() {
 		return
 	}
 	select {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/standin"
 )
 
@@ -160,7 +161,7 @@
 	if json.Unmarshal([]byte(text), &line) != nil {
 		return
 	}
-	if message, _ := line["msg"].(string); strings.HasSuffix(message, ": Ready.") {
+	if line[event.Key] == event.ProcessStarted.Name() {
 		d.ready <- line
 	}
 }
