A histogram of the time from a configuration's acceptance until members follow it

Change: the leader compares which configuration each member follows with what it followed at its last renewal. Members that have joined since, and those that a new leader sees for the first time, are left out.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -46,6 +46,8 @@
 	node   quorum.Group
 	// now is the clock of leases and elections.
 	now func() time.Time
+	// inForce is from a configuration's acceptance until a member follows it.
+	inForce tally.Histogram
 	// hosts are the group's, as last seen.
 	hosts atomic.Pointer[hostList]
 	// state belongs to the node's goroutine.
@@ -66,14 +68,15 @@
 		return nil, &Error{Op: "start", Kind: KindSettings, Err: eris.New("a host without dataFolder needs seeds")}
 	}
 	c := &Control{
-		cfg:    cfg,
-		client: link.Client(client),
-		log:    log,
-		scope:  metrics.Scope(),
-		page:   metrics.Handler(),
-		hooks:  metrics.Hooks(),
-		now:    bootClock,
-		state:  &state{machine: newMachine(), leases: newLeases(leaseOf(cfg))},
+		cfg:     cfg,
+		client:  link.Client(client),
+		log:     log,
+		scope:   metrics.Scope(),
+		inForce: metric.Durations(metrics.Scope(), "config_to_in_force"),
+		page:    metrics.Handler(),
+		hooks:   metrics.Hooks(),
+		now:     bootClock,
+		state:   &state{machine: newMachine(), leases: newLeases(leaseOf(cfg)), rollout: rollout{}},
 	}
 	c.hosts.Store(&hostList{})
 	if folder != nil {
--- a/lib/control/decide.go
+++ b/lib/control/decide.go
@@ -14,7 +14,8 @@
 	machine *machine
 	leases  *leases
 	// term is the leadership that the leases belong to.
-	term uint64
+	term    uint64
+	rollout rollout
 }
 
 // lead starts a leadership: whoever was a member before has a full lease, as
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -28,7 +28,10 @@
 	}
 	for range maxJoinRounds {
 		var reply *wire.RenewReply
-		err := c.read(ctx, func(s *state, now time.Time) { reply = s.renew(q, now) })
+		err := c.read(ctx, func(s *state, now time.Time) {
+			reply = s.renew(q, now)
+			c.measureRollout(s, q)
+		})
 		if err != nil {
 			return c.renewElsewhere(ctx, q, err)
 		}
@@ -47,6 +50,14 @@
 	return &wire.RenewReply{}, nil
 }
 
+// measureRollout takes in which configuration a member follows.
+func (c *Control) measureRollout(s *state, q *wire.RenewRequest) {
+	if took, ok := s.rollout.follow(s.machine, q, time.Now()); ok {
+		c.inForce.RecordDuration(took)
+	}
+	s.rollout.prune(s.machine.state.GetMembers())
+}
+
 // noteJoined logs that a member is in the directory, or has changed there.
 func (c *Control) noteJoined(ctx context.Context, member *wire.Member) {
 	event.MemberJoined.Log(ctx, c.log, slog.String("member", member.GetIncarnation().GetId()),
