--- a/internal/story/log.go
+++ b/internal/story/log.go
@@ -35,7 +35,12 @@
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for n := 1; scanner.Scan(); n++ {
-		if line := parse(scanner.Text()); line != nil {
+		text := scanner.Text()
+		if line := skim(text, l.id.job); line != nil {
+			l.see(line)
+			continue
+		}
+		if line := parse(text); line != nil {
 			line.Source = fmt.Sprintf("%s:%d", name, n)
 			l.take(line)
 		}
@@ -46,14 +51,19 @@
 	return nil
 }
 
-// take keeps a line unless it is about another request.
-func (l *Log) take(line *Line) {
+// see takes in that a process lived.
+func (l *Log) see(line *Line) {
 	l.read++
 	line.number = l.read
 	l.ids[line.Process] = true
 	if last := l.seen[line.Name()]; last == nil || !line.At.Before(last.At) {
 		l.seen[line.Name()] = line
 	}
+}
+
+// take keeps a line unless it is about another request.
+func (l *Log) take(line *Line) {
+	l.see(line)
 	job := line.Job()
 	if job == l.id.job || job == "" && isChange(line) {
 		l.lines = append(l.lines, line)
