Desk: an agent that restarts is followed whatever its incarnation's number

Cause: numbers of incarnations are random, and the desk ignored answers under a lower number than the one known: after half of all restarts of an agent its worker got no work for good, and the session there ended and opened again every 800 ms. Change: any other incarnation that answers is a restart; one Watch is in flight at a time, so the last answer is of the newest. Ruled out: the agent's side (it answers; its session never got a renewal as the desk never took its clock). Tests: the fake agent's numbers fall now; TestRetries/restarted_agent and TestRestartedAgentWorksOn failed before, pass after (go test -race ./lib/job).

--- a/lib/job/desk_test.go
+++ b/lib/job/desk_test.go
@@ -325,3 +325,18 @@
 		is.Equal((<-out).State, Complete)
 	})
 }
+
+func TestRestartedAgentWorksOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("agent1", 4000, takes(50*time.Millisecond))
+		d := newDesk(t, a)
+		time.Sleep(time.Second)
+		is.Equal(d.Submit(t.Context(), newJob("job1", 1)).State, Complete)
+		a.restart(100 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		a.set(func() { a.accepting = true })
+		time.Sleep(time.Second)
+		is.Equal(d.Submit(t.Context(), newJob("job2", 1)).State, Complete)
+	})
+}
--- a/lib/job/fake_test.go
+++ b/lib/job/fake_test.go
@@ -104,7 +104,7 @@
 
 func newFake(id string, millis int64, behave behaviour) *fakeAgent {
 	v := capacity.Vector{CPUMillis: millis, MemoryMB: 1000}
-	a := &fakeAgent{id: id, born: time.Now(), behave: behave, number: 1, whole: v, accepting: true, cleared: true,
+	a := &fakeAgent{id: id, born: time.Now(), behave: behave, number: 1 << 40, whole: v, accepting: true, cleared: true,
 		changed: make(chan struct{}), orphans: map[fakeKey]*fakeRun{}}
 	a.clean()
 	return a
@@ -154,7 +154,7 @@
 // those of its predecessor are gone.
 func (a *fakeAgent) restart(clearAfter time.Duration) {
 	a.set(func() {
-		a.number++
+		a.number-- // numbers are random, so a later one may be lower
 		for key, r := range a.runs {
 			r.timer.Stop()
 			a.orphans[key] = r
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -102,10 +102,11 @@
 	return true
 }
 
-// recognise compares the incarnation that answered with the one known. A
-// newer one makes the runs under the old one orphans; an older one is ignored.
+// recognise compares the incarnation that answered with the one known. Another
+// one makes the runs under the old one orphans. Numbers of incarnations have no
+// order; as one call is made at a time, the last answer is of the newest.
 func (d *Desk) recognise(l *link, agent *wire.Incarnation) bool {
-	if agent.GetId() != l.member.GetIncarnation().GetId() || agent.GetNumber() < l.agent.GetNumber() {
+	if agent.GetId() != l.member.GetIncarnation().GetId() {
 		return false
 	}
 	if wire.Same(agent, l.agent) {
