--- a/internal/cmd/cmd_explain.go
+++ b/internal/cmd/cmd_explain.go
@@ -82,7 +82,7 @@
 // start with a bar.
 func (c *cmdExplain) printStory(e *env, s *story.Story) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s, from %s\n\n", c.ID, s.Start().Format("2006-01-02 15:04:05.000"))
+	fmt.Fprintf(&b, "%s, from %s\n\n", c.ID, startOf(s))
 	for _, l := range s.Lines {
 		mark := " "
 		if !s.Own(l) {
@@ -101,6 +101,15 @@
 	return err
 }
 
+// startOf returns when the request was first seen: a time of day, or seconds
+// where that is what the lines start with.
+func startOf(s *story.Story) string {
+	if start := s.Start(); start.Year() > 1970 {
+		return start.Format("2006-01-02 15:04:05.000")
+	}
+	return fmt.Sprintf("%.3f s", float64(s.Start().UnixMilli())/1000)
+}
+
 // textOf returns a line's event, message and inputs, without what all lines of
 // the story share.
 func textOf(l *story.Line, id string) string {
--- a/internal/story/cause_refused.go
+++ b/internal/story/cause_refused.go
@@ -67,7 +67,7 @@
 		}
 	}
 	n := count(lost)
-	if n == 0 || s.ownLost() {
+	if s.ownLost() || !isMany(n, end) {
 		return ""
 	}
 	return fmt.Sprintf("Entry %s had lost %d agents and counted their workers out, whether these were free or not; reason %s%s.",
@@ -82,7 +82,7 @@
 			out[l.Worker()] = l.is(event.WorkerEjected)
 		}
 	}
-	if n := count(out); n > 0 && !hasRoom(end) {
+	if n := count(out); isMany(n, end) && !hasRoom(end) {
 		return fmt.Sprintf("Entry %s had ejected %d workers; reason %s%s.", end.Process, n, end.Fields[fieldReason], roomOf(end))
 	}
 	return ""
@@ -129,6 +129,12 @@
 	return err == nil && n > 0
 }
 
+// isMany tells whether n workers are a good part of those that the entry knew.
+func isMany(n int, end *Line) bool {
+	known, err := strconv.Atoi(end.Fields["workersKnown"])
+	return n > 0 && (err != nil || n*3 >= known)
+}
+
 func count(set map[string]bool) int {
 	n := 0
 	for _, in := range set {
--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -19,7 +19,6 @@
 	fieldUp          = "up"
 	fieldProcess     = "process"
 	fieldIncarnation = "incarnation"
-	fieldSampled     = "sampled"
 	fieldJob         = "job"
 	fieldTask        = "task"
 	fieldAttempt     = "attempt"
@@ -53,6 +52,8 @@
 	// Source is the file and the number of the line in it.
 	Source string
 	number int
+	// gathered is set where At is the clock of who gathered the lines.
+	gathered bool
 }
 
 // Job returns the job that the line names, if any. Tasks are named
--- a/internal/story/missing.go
+++ b/internal/story/missing.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
+
+	"skylarklane.example/lib/event"
 )
 
 // notSeen returns what one would expect to read and did not.
@@ -32,12 +36,57 @@
 		}
 	}
 	missing = append(missing, silentProcesses(s, log)...)
-	for _, l := range s.LeftOut {
-		add("lines that %s left out%s", l.Process, leftOutOf(l))
+	for _, name := range namesOf(s.LeftOut) {
+		add("lines that %s left out: %s", name, leftOutBy(s.LeftOut, name))
 	}
 	return missing
 }
 
+// leftOutNear returns the reports of lines left out while the request was there,
+// by the processes that it met.
+func leftOutNear(lines []*Line, own map[*Line]bool) []*Line {
+	first, last := span(lines, own)
+	peers := peersOf(own)
+	var found []*Line
+	for _, l := range lines {
+		if l.is(event.LinesLeftOut) && peers[l.Process] && !l.At.Before(first) && !l.At.After(last.Add(after)) {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// namesOf returns the names of the processes of lines, each once.
+func namesOf(lines []*Line) []string {
+	var names []string
+	for _, l := range lines {
+		if !slices.Contains(names, l.Name()) {
+			names = append(names, l.Name())
+		}
+	}
+	return names
+}
+
+// leftOutBy sums what one process left out, by event.
+func leftOutBy(lines []*Line, name string) string {
+	counts := map[string]int64{}
+	for _, l := range lines {
+		if l.Name() != name {
+			continue
+		}
+		for _, key := range l.Keys {
+			if _, of, ok := strings.Cut(key, "."); ok {
+				counts[of] += l.Millis(key)
+			}
+		}
+	}
+	var parts []string
+	for _, of := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[of], of))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // agentsOf returns the agents that the request's runs were sent to.
 func agentsOf(s *Story) []string {
 	var agents []string
@@ -72,16 +121,6 @@
 	return silent
 }
 
-func leftOutOf(l *Line) string {
-	text := ""
-	for _, key := range l.Keys {
-		if key != fieldReason && key != fieldSampled {
-			text += fmt.Sprintf(", %s=%s", key, l.Fields[key])
-		}
-	}
-	return text
-}
-
 func orUnknown(s string) string {
 	if s == "" {
 		return "(unknown)"
--- a/internal/story/order.go
+++ b/internal/story/order.go
@@ -11,15 +11,20 @@
 // lines that were written late don't change their order.
 func align(lines []*Line) {
 	starts := map[owner][]time.Time{}
+	gathered := map[owner]bool{}
 	for _, l := range lines {
 		if l.Up != unknownUp && !l.At.IsZero() {
 			starts[l.owner()] = append(starts[l.owner()], l.started())
+			gathered[l.owner()] = l.gathered
 		}
 	}
 	start := map[owner]time.Time{}
 	for o, all := range starts {
 		slices.SortFunc(all, time.Time.Compare)
 		start[o] = all[len(all)/2]
+		if gathered[o] {
+			start[o] = all[0] // lines are gathered late, never early
+		}
 	}
 	for _, l := range lines {
 		if s, ok := start[l.owner()]; ok && l.Up != unknownUp {
--- a/internal/story/parse.go
+++ b/internal/story/parse.go
@@ -12,6 +12,9 @@
 
 const microsPerSecond = 1e6
 
+// objectStart is how a JSON line starts.
+const objectStart = `{"`
+
 var (
 	// pairStart finds the first key=value of a text line.
 	pairStart = regexp.MustCompile(`(?:^|\s)([A-Za-z][\w.]*)=`)
@@ -39,19 +42,21 @@
 
 // readJSON reads the first JSON object of text and returns what is before it.
 func (l *Line) readJSON(text string) (prefix string, ok bool) {
-	start := strings.IndexByte(text, '{')
-	if start < 0 {
-		return "", false
-	}
-	decoder := json.NewDecoder(strings.NewReader(text[start:]))
-	decoder.UseNumber()
-	if token, err := decoder.Token(); err != nil || token != json.Delim('{') {
-		return "", false
-	}
-	if !l.readObject(decoder, "") {
-		return "", false
+	from := 0
+	for {
+		start := strings.Index(text[from:], objectStart)
+		if start < 0 {
+			return "", false
+		}
+		start += from
+		decoder := json.NewDecoder(strings.NewReader(text[start:]))
+		if _, err := decoder.Token(); err == nil && l.readObject(decoder, "") {
+			return text[from:start], true
+		}
+		// Another process may have cut the line off: go on in what it wrote.
+		*l = Line{Up: unknownUp, Fields: map[string]string{}}
+		from = start + len(objectStart)
 	}
-	return text[:start], true
 }
 
 // readObject reads the rest of an object; nested names are joined by dots.
@@ -150,6 +155,7 @@
 	if seconds := prefixSeconds.FindString(prefix); seconds != "" {
 		if s, err := strconv.ParseFloat(seconds, 64); err == nil {
 			l.At = time.UnixMicro(int64(math.Round(s * microsPerSecond))).UTC()
+			l.gathered = true
 		}
 	}
 	if l.Process == "" {
--- a/internal/story/select.go
+++ b/internal/story/select.go
@@ -28,7 +28,6 @@
 	{event.WorkerWord, []*event.Event{event.WorkerWord}, fieldAgent, refusesWork},
 	{event.WorkerEjected, []*event.Event{event.WorkerReadmitted}, fieldWorker, nil},
 	{event.WorkerSilent, []*event.Event{event.WorkerRegained, event.WorkerNewLife}, fieldWorker, nil},
-	{event.WorkerDraining, []*event.Event{event.WorkerNewLife, event.WorkerCame}, fieldWorker, nil},
 	{event.SessionEnded, []*event.Event{event.SessionStarted}, fieldEntry, nil},
 	{event.DependencyLost, []*event.Event{event.DependencyRegained}, "dependency", nil},
 	{event.ConfigInForce, []*event.Event{event.ConfigInForce}, "", nil},
@@ -86,18 +85,10 @@
 
 // bears tells whether a line that doesn't name the request may matter to it.
 func bears(l *Line, peers map[string]bool) bool {
-	if l.Job() != "" || !tellsChange(l) {
+	if l.Job() != "" || !tellsChange(l) || l.is(event.LinesLeftOut) {
 		return false
 	}
-	if peers[l.Process] || l.Part() == event.PartControl {
-		return true
-	}
-	for _, field := range peerFields {
-		if peers[l.named(field)] {
-			return true
-		}
-	}
-	return false
+	return peers[l.Process] || l.Part() == event.PartControl
 }
 
 // tellsChange tells whether a line says what a process believes, or warns.
--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -62,7 +62,7 @@
 	s.Lines = selectLines(log.lines, s.own)
 	s.Jobs = jobsOf(s)
 	s.Runs = runsOf(s)
-	s.LeftOut = s.of(event.LinesLeftOut)
+	s.LeftOut = leftOutNear(log.lines, s.own)
 	s.NotSeen = notSeen(s, log)
 	s.Cause = causeOf(s)
 	s.Lines = slices.DeleteFunc(s.Lines, func(l *Line) bool { return s.own[l] && !log.id.names(l) })
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -126,6 +126,7 @@
 		{"prefixed JSON", `[  12.345] front-a/entry | {"msg":"entry: x.","event":"jobRefused","task":"j.0.1.2","reason":"late"}`, "front-a", "j", "jobRefused", "late", false},
 		{"prefixed text", `12.345s front-a time=2026-01-01T00:00:00Z msg=x event=jobRefused job=j reason=late`, "front-a", "j", "jobRefused", "late", false},
 		{"nested", `{"msg":"x","process":"e1","job":"j","event":"a","free":{"cpu":3},"reason":"late"}`, "e1", "j", "a", "late", false},
+		{"cut off by another", `12.345 front-b {"time":"2026-01-01T00:00:00Z","msg":"a  12.346 front-a {"msg":"entry: x.","event":"jobRefused","job":"j","reason":"late"}`, "front-a", "j", "jobRefused", "late", false},
 		{"other text", `panic: a=b`, "", "", "", "", true},
 		{"cut off", `{"msg":"x","job":"j`, "", "", "", "", true},
 		{"empty", ``, "", "", "", "", true},
--- a/lib/job/note.go
+++ b/lib/job/note.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -159,18 +160,19 @@
 		}
 	}
 	attrs := []slog.Attr{slog.Int("workersKnown", known), millis("ageMillis", age)}
-	if w != nil && len(w.pending) > 0 {
+	if w != nil && w.tasksLeft > 0 {
 		attrs = append(attrs, slog.Int("workersWithRoom", room))
 	}
 	return attrs
 }
 
-// fitsAt tells whether the next task of the job has room at the agent's worker.
+// fitsAt tells whether a task of the next step has room at the agent's worker.
 func (w *work) fitsAt(l *link) bool {
-	if len(w.pending) == 0 {
+	i := slices.IndexFunc(w.steps, func(s *step) bool { return s.left > 0 })
+	if i < 0 {
 		return false
 	}
-	s := w.pending[0].step
+	s := w.steps[i]
 	return s.need.Fits(l.room()) && (s.Label == "" || hasLabel(l.word, s.Label))
 }
 
