--- a/internal/story/parse.go
+++ b/internal/story/parse.go
@@ -22,7 +22,7 @@
 	// program that gathers the output of many processes puts it there.
 	prefixSeconds = regexp.MustCompile(`\d+\.\d+`)
 	// prefixName finds the name of a process there.
-	prefixName = regexp.MustCompile(`\b[A-Za-z][\w.-]*`)
+	prefixName = regexp.MustCompile(`\b[A-Za-z][\w./-]*`)
 )
 
 // parse reads one line of a log: JSON or key=value text, after any prefix. It
@@ -152,13 +152,23 @@
 // readPrefix takes the time and the process from what is before the line
 // proper. Its time is the same clock for all processes, so it is preferred.
 func (l *Line) readPrefix(prefix string) {
-	if seconds := prefixSeconds.FindString(prefix); seconds != "" {
+	if seconds := last(prefixSeconds, prefix); seconds != "" {
 		if s, err := strconv.ParseFloat(seconds, 64); err == nil {
 			l.At = time.UnixMicro(int64(math.Round(s * microsPerSecond))).UTC()
 			l.gathered = true
 		}
 	}
 	if l.Process == "" {
-		l.Process = prefixName.FindString(prefix)
+		l.Process, _, _ = strings.Cut(last(prefixName, prefix), "/")
 	}
 }
+
+// last returns the last match of r, as what is before the prefix may belong to
+// a line that was cut off.
+func last(r *regexp.Regexp, text string) string {
+	all := r.FindAllString(text, -1)
+	if len(all) == 0 {
+		return ""
+	}
+	return all[len(all)-1]
+}
