Control group with fixed peers: a host that comes with a new folder keeps the group's address

Cause: admit took the address that the host listens on, 127.0.0.1:0 where the kernel chooses the port; the leader called nobody, and a host added by an operator never got ready. Change: with fixed peers the group's address stands, and a host tells none of its own but the advertised one. With seeds nothing changes.

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -113,10 +113,14 @@
 	return found
 }
 
-// address is where the others reach this host.
+// address is where the others reach this host, empty where the list of peers
+// says so: the listening address may leave the port to the kernel.
 func address(cfg *wire.ControlSettings) string {
-	if cfg.GetAdvertise() != "" {
+	switch {
+	case cfg.GetAdvertise() != "":
 		return cfg.GetAdvertise()
+	case len(cfg.GetSeeds()) == 0:
+		return ""
 	}
 	return cfg.GetListen()
 }
--- a/lib/quorum/meet.go
+++ b/lib/quorum/meet.go
@@ -226,7 +226,7 @@
 		if host.GetFolder() == q.GetFolder() {
 			return
 		}
-		if address == "" {
+		if !n.cfg.seeded() || address == "" {
 			address = host.GetAddress()
 		}
 	} else {
