--- a/internal/story/cause_late.go
+++ b/internal/story/cause_late.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	for _, l := range s.of(event.WorkerSilent, event.WorkerNewLife, event.AgentLost, event.AgentRestarted, event.SessionEnded, event.MemberDead) {
-		about := l.Fields[fieldWorker] == r.Worker && r.Worker != "" ||
+		about := l.Worker() == r.Worker && r.Worker != "" ||
 			r.Agent != "" && (l.Fields[fieldAgent] == r.Agent || l.Fields["member"] == r.Agent) ||
 			l.is(event.SessionEnded) && l.Process == r.Agent && l.Fields[fieldEntry] == r.entry.process
 		if about && !l.At.Before(r.first().At) && (r.Ended == nil || !l.At.After(r.Ended.At.Add(after))) {
@@ -161,7 +161,7 @@
 func explainUnanswered(s *Story) string {
 	for _, l := range s.of(event.OrderUnanswered, event.LaunchUnanswered, event.HaltUnanswered) {
 		if s.Own(l) {
-			return fmt.Sprintf("%s got no answer: %s Worker %s, %s.", l.Process, l.Sentence(), orUnknown(l.Fields[fieldWorker]), runsText(l))
+			return fmt.Sprintf("%s got no answer: %s Worker %s, %s.", l.Process, l.Sentence(), orUnknown(l.Worker()), runsText(l))
 		}
 	}
 	return ""
@@ -212,13 +212,18 @@
 		case l.is(event.Stopping, event.Stopped, event.Failed) && l.owner() == j.owner,
 			l.is(event.MemberDead) && l.Fields["member"] == j.owner.process:
 			return fmt.Sprintf("Entry %s was lost with the job: %s", j.Entry(), sentenceOf(l))
-		case l.is(event.ProcessStarted) && l.Process == j.owner.process && l.Incarnation != j.owner.incarnation:
+		case l.is(event.ProcessStarted) && l.owner().isNext(j.owner):
 			return fmt.Sprintf("Entry %s was lost with the job: it started anew as incarnation %s.", j.Entry(), l.Incarnation)
 		}
 	}
 	return ""
 }
 
+// isNext tells whether o is another incarnation of the process.
+func (o owner) isNext(former owner) bool {
+	return o.process == former.process && o.part == former.part && o.incarnation != former.incarnation
+}
+
 // sentenceOf returns a line's sentence and its reason.
 func sentenceOf(l *Line) string {
 	if reason := l.Fields[fieldReason]; reason != "" {
--- a/lib/event/control.go
+++ b/lib/event/control.go
@@ -8,7 +8,11 @@
 var (
 	LeaderChanged = ofControl.change("leaderChanged", "The control group's leader changed.",
 		"This host leads, follows another leader, or knows none.",
-		Field{"leader", "id of the leader, empty where none is known"}, address, term, reason)
+		Field{"leader", "id of the leader, empty where none is known"}, Field{"former", "id of the last leader"}, address, term, reason, silence)
+	ElectionStarted = ofControl.change("electionStarted", "This host stands for election.",
+		"It has heard no leader for long and a quorum would vote for it.", term)
+	FounderChosen = ofControl.change("founderChosen", "The founder of the group is chosen.",
+		"Hosts that have no disk agree on which host with one founds the group.", host, address)
 	GroupFounded = ofControl.change("groupFounded", "The control group was founded.",
 		"The first hosts agree on the group's members.", Field{"group", "the group's number"}, Field{"hosts", "hosts of the group"})
 	GroupJoined = ofControl.change("groupJoined", "This host joined the control group.",
