--- a/internal/story/cause_refused.go
+++ b/internal/story/cause_refused.go
@@ -34,7 +34,7 @@
 		return fmt.Sprintf("The queue of entry %s was full (%s waited)%s.", end.Process, end.Fields["queue"], roomOf(end))
 	}),
 	reasonIs("hopeless", "hopeless", func(_ *Story, end *Line) string {
-		return fmt.Sprintf("Entry %s expected that the job could not be done before its caller leaves: %s waited%s.", end.Process, end.Fields["queue"], roomOf(end))
+		return fmt.Sprintf("Entry %s expected that the job could not be done in time: %s jobs waited before it%s.", end.Process, end.Fields["queue"], roomOf(end))
 	}),
 	reasonIs("late", "late", func(_ *Story, end *Line) string {
 		return fmt.Sprintf("The job waited %s ms at entry %s until it was too late%s.", end.Fields["waitedMillis"], end.Process, roomOf(end))
