--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -51,7 +51,7 @@
 	}
 	metrics := metric.New("control")
 	defer metrics.Close()
-	folder, closeFolder, err := openFolder(cfg)
+	folder, closeFolder, err := OpenFolder(cfg.GetDataFolder())
 	if err != nil {
 		return err
 	}
@@ -77,12 +77,13 @@
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
 
-// openFolder opens the data folder; a relay has none.
-func openFolder(cfg *wire.ControlSettings) (quorum.Folder, func(), error) {
-	if cfg.GetDataFolder() == "" {
+// OpenFolder opens the data folder at path, and returns what closes it. A relay
+// has an empty path and no folder.
+func OpenFolder(path string) (quorum.Folder, func(), error) {
+	if path == "" {
 		return nil, func() {}, nil
 	}
-	folder, err := quorum.OpenFolder(cfg.GetDataFolder())
+	folder, err := quorum.OpenFolder(path)
 	if err != nil {
 		return nil, nil, err
 	}
