Job store in the control group's log

Control hosts carry it in their own log and serve it. Events, metrics, docs/JOBS.md. Ruled out: a log of its own on the same hosts (deaths would come from another log, by a clock; a second heartbeat also where nothing is kept), logs by shard, leaderless copies (docs/JOBS.md).

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -19,6 +19,7 @@
 	"skylarklane.example/lib/link"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/quorum"
+	"skylarklane.example/lib/store"
 	"skylarklane.example/lib/wire"
 )
 
@@ -44,6 +45,7 @@
 	page   http.Handler
 	hooks  *twirp.ServerHooks
 	node   quorum.Group
+	jobs   *store.Service
 	// now is the clock of leases and elections.
 	now func() time.Time
 	// inForce is from a configuration's acceptance until a member follows it.
@@ -79,6 +81,7 @@
 		state:   &state{machine: newMachine(), leases: newLeases(leaseOf(cfg)), rollout: rollout{}},
 	}
 	c.hosts.Store(&hostList{})
+	c.jobs = store.NewService(jobLog{c}, c.now, log, c.scope)
 	if folder != nil {
 		folder = newDisk(folder, log, c.scope)
 	}
@@ -137,6 +140,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go c.loop(ctx)
+	go c.jobs.Run(ctx)
 	return c.node.Run(ctx)
 }
 
@@ -193,6 +197,16 @@
 
 // propose has the group carry a command out. Only publishing has an answer.
 func (c *Control) propose(ctx context.Context, command *wire.Command) (*wire.PublishReply, error) {
+	value, err := c.submit(ctx, command)
+	if err != nil {
+		return nil, err
+	}
+	reply, _ := value.(*wire.PublishReply)
+	return reply, nil
+}
+
+// submit has the group carry a command out and returns the machine's result.
+func (c *Control) submit(ctx context.Context, command *wire.Command) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	command.AtMillis = time.Now().UnixMilli()
@@ -200,12 +214,7 @@
 	if err != nil {
 		return nil, &Error{Op: "propose", Kind: KindState, Err: eris.Wrap(err, "the command cannot be encoded")}
 	}
-	value, err := c.node.Propose(ctx, b)
-	if err != nil {
-		return nil, err
-	}
-	reply, _ := value.(*wire.PublishReply)
-	return reply, nil
+	return c.node.Propose(ctx, b)
 }
 
 // leaderAddress returns where to reach the leader that err names, if any.
--- a/lib/control/handler.go
+++ b/lib/control/handler.go
@@ -16,6 +16,7 @@
 func (c *Control) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.ControlPathPrefix, keepHeader(wire.NewControlServer(c, c.hooks)))
+	mux.Handle(wire.JobStorePathPrefix, wire.NewJobStoreServer(c.jobs, c.hooks))
 	mux.Handle(wire.QuorumPathPrefix, wire.NewQuorumServer(c.node, c.hooks))
 	mux.Handle("/metrics", c.page)
 	mux.HandleFunc("/healthz", c.healthz)
--- /dev/null
+++ b/lib/control/jobs_test.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/process"
+	"skylarklane.example/lib/store"
+	"skylarklane.example/lib/wire"
+)
+
+// entryOf is an entry that keeps jobs in the group of a test.
+type entryOf struct {
+	g   *hostGroup
+	who *wire.Incarnation
+	*store.Client
+}
+
+func (g *hostGroup) entry(id string, number uint64) *entryOf {
+	client := store.NewClient(process.NewClient(), func() []string { return g.addresses })
+	return &entryOf{g: g, who: &wire.Incarnation{Id: id, Number: number}, Client: client}
+}
+
+// renew has the entry be a member, and tells whether it is one.
+func (e *entryOf) renew() bool {
+	member := &wire.Member{Incarnation: e.who, Role: wire.Role_ROLE_ENTRY, Address: "127.0.0.1:1"}
+	for range 100 {
+		for _, address := range e.g.addresses {
+			client := wire.NewControlProtobufClient("http://"+address, http.DefaultClient)
+			ctx, cancel := context.WithTimeout(e.g.t.Context(), time.Second)
+			reply, err := client.Renew(ctx, &wire.RenewRequest{Member: member, Forward: true})
+			cancel()
+			if err == nil && (reply.GetDead() || reply.GetLeaseMillis() > 0) {
+				return !reply.GetDead()
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.g.t.Fatal("not answered")
+	return false
+}
+
+func (e *entryOf) keep(id string) *wire.KeepReply {
+	e.g.t.Helper()
+	for range 20 {
+		reply, err := e.Keep(e.g.t.Context(), &wire.KeepRequest{Owner: e.who, Job: &wire.KeptJob{Id: id, Service: "sizing", Kind: "fins"}})
+		if err == nil {
+			return reply
+		}
+	}
+	e.g.t.Fatal("not answered")
+	return nil
+}
+
+// TestKeptJobs keeps jobs over loopback, loses their owner and the leader, and
+// has another entry go on with them.
+func TestKeptJobs(t *testing.T) {
+	is := is.New(t)
+	g := newHosts(t, 3, 1)
+	first := g.entry("first", 1)
+	is.True(first.renew())
+	is.Equal(first.keep("a").GetEpoch(), uint64(1))
+	is.True(first.keep("a").GetKnown())
+	is.True(first.keep("b").GetStored())
+	count, err := first.CountJobs(t.Context(), &wire.CountJobsRequest{Service: "sizing", Kind: "fins"})
+	is.NoErr(err)
+	is.Equal(count.GetWaiting(), uint64(2))
+	_, err = first.CancelKept(t.Context(), &wire.CancelKeptRequest{Id: "b"})
+	is.NoErr(err)
+	second := g.entry("first", 2)
+	is.True(second.renew())
+	g.stopLeader()
+	claimed := second.claim()
+	is.Equal(claimed.GetJob().GetId(), "a")
+	is.Equal(claimed.GetEpoch(), uint64(2))
+	late, err := first.Note(t.Context(), &wire.NoteRequest{Owner: first.who, Notes: []*wire.JobNote{{Id: "a", Epoch: 1, State: wire.JobState_JOB_STATE_FAILED}}})
+	is.NoErr(err)
+	is.Equal(late.GetResults()[0].GetReason(), store.ReasonNotOwner)
+	_, err = second.Note(t.Context(), &wire.NoteRequest{Owner: second.who, Notes: []*wire.JobNote{{Id: "a", Epoch: 2, State: wire.JobState_JOB_STATE_COMPLETED}}})
+	is.NoErr(err)
+	for id, want := range map[string]wire.JobState{"a": wire.JobState_JOB_STATE_COMPLETED, "b": wire.JobState_JOB_STATE_CANCELLED} {
+		read, err := first.ReadJob(t.Context(), &wire.ReadJobRequest{Id: id})
+		is.NoErr(err)
+		is.Equal(read.GetState(), want)
+	}
+	is.Equal(first.keep("c").GetReason(), store.ReasonNotMember)
+}
+
+// claim waits until there is a job to claim, and takes it.
+func (e *entryOf) claim() *wire.JobRecord {
+	e.g.t.Helper()
+	for range 500 {
+		reply, err := e.ClaimJobs(e.g.t.Context(), &wire.ClaimJobsRequest{Owner: e.who, Limit: 10})
+		if err == nil && len(reply.GetJobs()) > 0 {
+			e.g.is.Equal(len(reply.GetJobs()), 1)
+			return reply.GetJobs()[0]
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.g.t.Fatal("nothing to claim")
+	return nil
+}
+
+// stopLeader stops the host that leads.
+func (g *hostGroup) stopLeader() {
+	for range 500 {
+		for _, h := range g.hosts {
+			if h.control.read(g.t.Context(), func(*state, time.Time) {}) == nil {
+				h.stop()
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	g.t.Fatal("no leader")
+}
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"skylarklane.example/lib/store"
 	"skylarklane.example/lib/wire"
 )
 
@@ -27,10 +28,12 @@
 	state *wire.ControlState
 	// inForce is the newest change's content, decoded.
 	inForce *wire.Configuration
+	// jobs are those that are kept.
+	jobs *store.Machine
 }
 
 func newMachine() *machine {
-	return &machine{state: &wire.ControlState{}, inForce: &wire.Configuration{}}
+	return &machine{state: &wire.ControlState{}, inForce: &wire.Configuration{}, jobs: store.NewMachine(store.DefaultLimits())}
 }
 
 // Apply implements quorum.Machine.
@@ -39,12 +42,18 @@
 	if err := proto.Unmarshal(b, command); err != nil {
 		panic(err) // the log checks its records; this one was written by a newer version
 	}
+	if c, ok := command.GetCommand().(*wire.Command_Store); ok {
+		return m.jobs.Apply(c.Store, m)
+	}
 	return m.apply(index, command)
 }
 
 // Snapshot implements quorum.Machine.
 func (m *machine) Snapshot() []byte {
-	return encode(m.state)
+	m.state.Store = m.jobs.Snapshot()
+	b := encode(m.state)
+	m.state.Store = nil
+	return b
 }
 
 // Restore implements quorum.Machine.
@@ -60,6 +69,10 @@
 			return err
 		}
 	}
+	if err := m.jobs.Restore(state.GetStore()); err != nil {
+		return err
+	}
+	state.Store = nil
 	m.state = state
 	m.inForce = inForce
 	return nil
--- a/lib/event/control.go
+++ b/lib/event/control.go
@@ -45,4 +45,10 @@
 		"It may or may not be accepted: the group could not tell in time.", declared, changeID, problem)
 	DiskSlow = ofControl.warning(Failure, "diskSlow", "A sync took long.",
 		"The data folder's disk is slow.", Field{"tookMillis", "how long the sync took"})
+	KeepRefused = ofControl.warning(Refusal, "keepRefused", "A job is not stored.",
+		"The store has no room, or the id belongs to a job of other content.", job, reason, entry)
+	NoteRefused = ofControl.warning(Refusal, "noteRefused", "News of a job are not stored.",
+		"The job is another owner's by now, or is not known.", job, reason, entry, epoch)
+	JobClaimed = ofControl.change("jobClaimed", "A stored job has a new owner.",
+		"Its former owner is dead.", job, entry, epoch)
 )
--- a/lib/event/field.go
+++ b/lib/event/field.go
@@ -31,6 +31,7 @@
 	worker      = Field{"worker", "id of the worker, and where an entry tells it also of its life"}
 	host        = Field{"host", "id of the control host"}
 	member      = Field{"member", "id of the entry or agent"}
+	epoch       = Field{"epoch", "number of the job's owner, from 1"}
 	reason      = Field{"reason", "a word in camelCase"}
 	how         = Field{"how", "how the run ended: done, failed, stopped, lost or notStarted"}
 	queue       = Field{"queue", "tasks that wait at the process"}
