Members hear whether the store has kept jobs

Ruled out: a field of the directory: it would make a new version, and a round to all members, at the first and last job. TestKeptJobs asks for it; lib/control KeptJobs with -race and lib/membership pass.

--- a/lib/control/jobs_test.go
+++ b/lib/control/jobs_test.go
@@ -26,7 +26,10 @@
 }
 
 // renew has the entry be a member, and tells whether it is one.
-func (e *entryOf) renew() bool {
+func (e *entryOf) renew() bool { return !e.renewal().GetDead() }
+
+// renewal renews the entry's lease until it is answered.
+func (e *entryOf) renewal() *wire.RenewReply {
 	member := &wire.Member{Incarnation: e.who, Role: wire.Role_ROLE_ENTRY, Address: "127.0.0.1:1"}
 	for range 100 {
 		for _, address := range e.g.addresses {
@@ -35,13 +38,13 @@
 			reply, err := client.Renew(ctx, &wire.RenewRequest{Member: member, Forward: true})
 			cancel()
 			if err == nil && (reply.GetDead() || reply.GetLeaseMillis() > 0) {
-				return !reply.GetDead()
+				return reply
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	e.g.t.Fatal("not answered")
-	return false
+	return nil
 }
 
 func (e *entryOf) keep(id string) *wire.KeepReply {
@@ -62,10 +65,11 @@
 	is := is.New(t)
 	g := newHosts(t, 3, 1)
 	first := g.entry("first", 1)
-	is.True(first.renew())
+	is.True(!first.renewal().GetKeepsJobs())
 	is.Equal(first.keep("a").GetEpoch(), uint64(1))
 	is.True(first.keep("a").GetKnown())
 	is.True(first.keep("b").GetStored())
+	is.True(first.renewal().GetKeepsJobs())
 	count, err := first.CountJobs(t.Context(), &wire.CountJobsRequest{Service: "sizing", Kind: "fins"})
 	is.NoErr(err)
 	is.Equal(count.GetWaiting(), uint64(2))
--- a/lib/control/member.go
+++ b/lib/control/member.go
@@ -124,7 +124,7 @@
 		return nil
 	}
 	s.leases.hear(s.machine.state.GetMembers(), member.GetIncarnation(), q.GetDirectoryVersion(), now)
-	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds()}
+	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds(), KeepsJobs: !s.machine.jobs.IsEmpty()}
 	if s.machine.state.GetVersion() == q.GetDirectoryVersion() {
 		return reply
 	}
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -62,6 +62,7 @@
 	changed      chan struct{}
 	dead         chan struct{}
 	buried       bool
+	keepsJobs    bool
 	// leader is the host that is thought to lead, next the one to ask where
 	// none is.
 	leader string
@@ -109,6 +110,13 @@
 	return f.directory
 }
 
+// KeepsJobs tells whether the control group had kept jobs when it last answered.
+func (f *Follower) KeepsJobs() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.keepsJobs
+}
+
 // Current tells whether the lease stands, so that the directory may be acted
 // upon and new work taken.
 func (f *Follower) Current() bool {
@@ -271,6 +279,7 @@
 	}
 	f.lease = time.Duration(reply.GetLeaseMillis()) * time.Millisecond
 	f.joining = false
+	f.keepsJobs = reply.GetKeepsJobs()
 	f.heardAt = time.Now()
 	if reply.GetHostsVersion() > 0 {
 		f.hosts, f.hostsVersion = reply.GetHosts(), reply.GetHostsVersion()
--- a/lib/store/machine.go
+++ b/lib/store/machine.go
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// IsEmpty tells whether there is no job, not even one that ended lately.
+func (m *Machine) IsEmpty() bool { return len(m.jobs) == 0 }
+
 // put stores a record in the place of the one that it follows from.
 func (m *Machine) put(r *record) {
 	m.drop(m.jobs[r.id])
