--- a/lib/store/fake_test.go
+++ b/lib/store/fake_test.go
@@ -178,7 +178,7 @@
 
 // cluster runs hosts over a network in memory.
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	is    *is.I
 	peers []*wire.LogHost
 
@@ -190,7 +190,7 @@
 	lossy bool
 }
 
-func newCluster(t *testing.T, ids ...string) *cluster {
+func newCluster(t testing.TB, ids ...string) *cluster {
 	c := &cluster{t: t, is: is.New(t), hosts: map[string]*host{}}
 	for _, id := range ids {
 		c.peers = append(c.peers, &wire.LogHost{Id: id, Address: id})
@@ -318,13 +318,18 @@
 	c.t.Fatal("the group is not whole")
 }
 
+// stopAll ends a test in a bubble.
 func (c *cluster) stopAll() {
+	c.stopHosts()
+	time.Sleep(time.Minute) // calls on their way arrive
+}
+
+func (c *cluster) stopHosts() {
 	for _, id := range c.ids() {
 		if c.host(id) != nil {
 			c.stop(id)
 		}
 	}
-	time.Sleep(time.Minute) // calls on their way arrive
 }
 
 // pass waits for a message on its way, and fails it where it is lost.
