--- a/lib/job/desk.go
+++ b/lib/job/desk.go
@@ -41,6 +41,12 @@
 	// Remote is how many times as long a task takes away from the rack that
 	// its step prefers.
 	Remote float64
+	// Session is how long a session at an agent lasts after the call that
+	// renewed it. Agents must have the same.
+	Session time.Duration
+	// RunGrace is how long after the end of a session its runs may last, if
+	// their agent is lost too.
+	RunGrace time.Duration
 	// Yield is how much later a launch of the next priority, or of a late job,
 	// is sent to an agent that entries compete for, so that more urgent ones of
 	// other entries come first.
@@ -91,6 +97,12 @@
 	if cfg.Remote == 0 {
 		cfg.Remote = defaultRemote
 	}
+	if cfg.Session == 0 {
+		cfg.Session = wire.SessionLength
+	}
+	if cfg.RunGrace == 0 {
+		cfg.RunGrace = wire.RunGrace
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Desk{
 		cfg:      cfg,
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -108,13 +108,13 @@
 	if l.agent == nil || l.failing || l.silent(now) || l.halter.overdue(now, renewPatience) {
 		return 0
 	}
-	return l.agentMillis(now) + wire.SessionLength.Milliseconds()
+	return l.agentMillis(now) + l.d.cfg.Session.Milliseconds()
 }
 
 // surelyEnded returns when all runs under the session have ended even if the
 // agent is never heard of again.
 func (l *link) surelyEnded() time.Duration {
-	return l.sessionEnd + wire.RunGrace
+	return l.sessionEnd + l.d.cfg.RunGrace
 }
 
 // room is the free capacity that the desk reckons with.
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -57,7 +57,7 @@
 		q.WaitMillis = 0
 	}
 	if q.RenewUntilMillis != 0 {
-		l.sessionEnd = max(l.sessionEnd, now+wire.SessionLength)
+		l.sessionEnd = max(l.sessionEnd, now+d.cfg.Session)
 	}
 	return l.runner, q
 }
