--- a/load/internal/cmd/cmd.go
+++ b/load/internal/cmd/cmd.go
@@ -21,6 +21,7 @@
 	Capacity cmdCapacity `cmd:"" help:"Work out from slopes what each role needs at a planned size."`
 	Pages    cmdPages    `cmd:"" help:"Render the marked tables of pages anew from results."`
 	Report   cmdReport   `cmd:"" help:"Render results as Markdown tables."`
+	Worth    cmdWorth    `cmd:"" help:"Tell from reports of the users' bench where the worth of each day went."`
 	Agents   cmdAgents   `cmd:"" hidden:"" help:"Run many agents with stand-ins in this process."`
 }
 
