Members: a renewal's time-out leaves time for another one within the lease

Cause: a renewal waited 700 ms for a control host, whatever the lease. Of a lease of 1 s (as the process tests have it) 250 ms are gone when a renewal is sent; without an answer it ended at 950 ms, and the next one came at 1,050 ms, after the member could be declared dead. One lost answer was enough.

Change: the time-out is half of what is left of the lease after the interval and the pause of a round, at most 700 ms: 325 ms at 1 s. The pause shrinks for leases under 400 ms. At 2 s and more (default, platform) nothing changes.

Ruled out: a shorter time-out for all; at 2 s two tries fitted before.

--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -24,9 +24,13 @@
 	renewalsPerLease = 4
 	// maxInterval bounds the time between renewals, so that a change is soon
 	// followed everywhere.
-	maxInterval  = 350 * time.Millisecond
-	renewTimeout = 700 * time.Millisecond
-	// roundPause is the wait after all hosts were asked in vain.
+	maxInterval = 350 * time.Millisecond
+	// hostTimeout bounds how long one host is waited for.
+	hostTimeout = 700 * time.Millisecond
+	// triesPerLease is how many renewals that get no answer fit into what is left
+	// of a lease when the first one is sent.
+	triesPerLease = 2
+	// roundPause is the longest wait after all hosts were asked in vain.
 	roundPause = 100 * time.Millisecond
 	// forwardTime is how long renewals are passed on before the leader is asked
 	// directly again.
@@ -162,13 +166,41 @@
 func (f *Follower) interval() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case f.lost:
-		return roundPause
-	case f.lease == 0:
+	if f.lost {
+		return pauseAfterRound(f.lease)
+	}
+	return intervalWithin(f.lease)
+}
+
+// renewTimeout is how long one host is waited for.
+func (f *Follower) renewTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return timeoutWithin(f.lease)
+}
+
+// intervalWithin returns the time between two renewals of a lease, which is 0
+// while none is known.
+func intervalWithin(lease time.Duration) time.Duration {
+	if lease == 0 {
 		return firstInterval
 	}
-	return min(f.lease/renewalsPerLease, maxInterval)
+	return min(lease/renewalsPerLease, maxInterval)
+}
+
+// pauseAfterRound returns the wait after all hosts were asked in vain.
+func pauseAfterRound(lease time.Duration) time.Duration {
+	return min(roundPause, intervalWithin(lease))
+}
+
+// timeoutWithin returns how long to wait for one host, so that after a renewal
+// that got no answer there is time for another one within the lease.
+func timeoutWithin(lease time.Duration) time.Duration {
+	if lease == 0 {
+		return hostTimeout
+	}
+	left := lease - intervalWithin(lease) - pauseAfterRound(lease)
+	return min(left/triesPerLease, hostTimeout)
 }
 
 // renew asks the leader, or the control hosts in turn until one knows it.
@@ -216,7 +248,7 @@
 // renewAt asks one host. It tells whether the round is over, and whether the
 // host answered at all.
 func (f *Follower) renewAt(ctx context.Context, address string) (over, answered bool) {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.renewTimeout())
 	defer cancel()
 	sentAt := time.Now()
 	directory := f.Directory()
--- a/lib/membership/report.go
+++ b/lib/membership/report.go
@@ -28,7 +28,7 @@
 }
 
 func (f *Follower) reportTo(ctx context.Context, address string, q *wire.ReportRequest) (leader string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
 	reply, err := wire.NewControlProtobufClient("http://"+address, f.client).Report(ctx, q)
 	return reply.GetLeader(), err
