Control: a host listens before its disk answers, and passes calls on meanwhile

Cause: the folder was opened, read and written anew before the process listened. A disk that hangs at start (disk_stall beside a kill) took the host's address away for as long, and a host whose folder failed later answered every call with an error though it knew the leader. Change: quorum.NewHost takes what opens the folder; Host.Run opens it. While there is no node, a relay of the host's own finds the leader, so Propose, Read and Confirm name it and operators' calls and renewals are passed on. Meet, Vote, Append, Install and Peek stay refused: a seed with a disk that passes for a relay would let the others found a group without it. Foreign folders end the process as before, now from Run. Ruled out: a Meet answer as a relay (see above); a healthy /readyz meanwhile (an operator's rolling restart waits for it).

--- a/lib/control/control.go
+++ b/lib/control/control.go
@@ -60,11 +60,11 @@
 	addresses []string
 }
 
-// New returns a control host on its data folder. Run starts it. Without a
-// folder it is a relay, which passes calls on to the group. The error says what
-// is wrong with the folder or the settings.
-func New(cfg *wire.ControlSettings, folder quorum.Folder, client *http.Client, log *slog.Logger, metrics *metric.Registry) (*Control, error) {
-	if folder == nil && len(cfg.GetSeeds()) == 0 {
+// New returns a control host on the data folder that open returns. Run starts
+// it. Without open it is a relay, which passes calls on to the group. The error
+// says what is wrong with the settings, or without rejoin with the folder.
+func New(cfg *wire.ControlSettings, open quorum.OpenFunc, client *http.Client, log *slog.Logger, metrics *metric.Registry) (*Control, error) {
+	if open == nil && len(cfg.GetSeeds()) == 0 {
 		return nil, &Error{Op: "start", Kind: KindSettings, Err: eris.New("a host without dataFolder needs seeds")}
 	}
 	c := &Control{
@@ -79,28 +79,36 @@
 		state:   &state{machine: newMachine(), leases: newLeases(leaseOf(cfg)), rollout: rollout{}},
 	}
 	c.hosts.Store(&hostList{})
-	if folder != nil {
-		folder = newDisk(folder, log, c.scope)
-	}
-	return c, c.join(folder)
+	return c, c.join(open)
 }
 
 // join makes this host's part of the group.
-func (c *Control) join(folder quorum.Folder) error {
+func (c *Control) join(open quorum.OpenFunc) error {
 	cfg := quorum.Config{
 		ID: c.cfg.GetId(), Peers: peers(c.cfg), Seeds: c.cfg.GetSeeds(), Address: address(c.cfg),
 		Found: c.cfg.GetFound(), Tolerated: int(c.cfg.GetToleratedLosses()), Now: c.now,
 	}
 	transport := quorum.NewClient(c.client, cfg.Peers)
-	var err error
-	switch {
-	case folder == nil:
+	if open == nil {
 		c.node = quorum.NewRelay(cfg, transport, c.log)
-	case c.cfg.GetRejoin():
-		c.node, err = quorum.NewHost(cfg, transport, folder, c.state.machine, c.log)
-	default:
-		c.node, err = quorum.New(cfg, transport, folder, c.state.machine, c.log)
+		return nil
+	}
+	measured := func() (quorum.Folder, error) {
+		folder, err := open()
+		if err != nil {
+			return nil, err
+		}
+		return newDisk(folder, c.log, c.scope), nil
 	}
+	if c.cfg.GetRejoin() {
+		c.node = quorum.NewHost(cfg, transport, measured, c.state.machine, c.log)
+		return nil
+	}
+	folder, err := measured()
+	if err != nil {
+		return err
+	}
+	c.node, err = quorum.New(cfg, transport, folder, c.state.machine, c.log)
 	return err
 }
 
@@ -127,8 +135,11 @@
 
 // SetSeeds puts other seeds in the place of the ones in force.
 func (c *Control) SetSeeds(ctx context.Context, seeds []string) error {
+	if err := c.node.SetSeeds(ctx, seeds); err != nil {
+		return err
+	}
 	event.SeedsSet.Log(ctx, c.log, slog.Any("seeds", seeds))
-	return c.node.SetSeeds(ctx, seeds)
+	return nil
 }
 
 // Run takes part in the group until ctx ends, which is no error, or until the
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -12,7 +12,6 @@
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
 	"skylarklane.example/lib/process"
-	"skylarklane.example/lib/quorum"
 	"skylarklane.example/lib/settings"
 	"skylarklane.example/lib/wire"
 )
@@ -51,12 +50,9 @@
 	}
 	metrics := metric.New("control")
 	defer metrics.Close()
-	folder, closeFolder, err := OpenFolder(cfg.GetDataFolder())
-	if err != nil {
-		return err
-	}
-	defer closeFolder()
-	c, err := New(cfg, folder, security.Client(), log, metrics)
+	folder := NewDataFolder(cfg.GetDataFolder())
+	defer folder.Close()
+	c, err := New(cfg, folder.OpenFunc(), security.Client(), log, metrics)
 	if err != nil {
 		return err
 	}
@@ -76,16 +72,3 @@
 	}
 	return server.Shutdown(context.WithoutCancel(ctx))
 }
-
-// OpenFolder opens the data folder at path, and returns what closes it. A relay
-// has an empty path and no folder.
-func OpenFolder(path string) (quorum.Folder, func(), error) {
-	if path == "" {
-		return nil, func() {}, nil
-	}
-	folder, err := quorum.OpenFolder(path)
-	if err != nil {
-		return nil, nil, err
-	}
-	return folder, folder.Close, nil
-}
--- a/lib/quorum/relay.go
+++ b/lib/quorum/relay.go
@@ -57,13 +57,18 @@
 
 // Run follows the group's leader until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
+	r.loop(ctx)
+	return nil
+}
+
+func (r *Relay) loop(ctx context.Context) {
 	ticker := time.NewTicker(r.cfg.Timing.Election / 2)
 	defer ticker.Stop()
 	for {
 		r.look(ctx)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
@@ -109,6 +114,13 @@
 	return found
 }
 
+// know keeps addresses of other hosts.
+func (r *Relay) know(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.remember(addresses...)
+}
+
 func (r *Relay) remember(addresses ...string) {
 	for _, address := range addresses {
 		if address == "" || address == r.cfg.Address || slices.Contains(r.known, address) {
