--- a/lib/event/control.go
+++ b/lib/event/control.go
@@ -23,6 +23,10 @@
 		"The host has not answered for long.", host, address, silence, Field{"voter", "whether it voted"}, Field{"reached", "voters that answer"})
 	HostRejoined = ofControl.warning(Change, "hostRejoined", "A control host comes with a new data folder.",
 		"The host follows without a vote until it has caught up.", host, address, Field{"folder", "number of the data folder"}, Field{"known", "whether the group had the host"})
+	FolderRead = ofControl.change("folderRead", "The data folder was read.",
+		"The host takes part from now on; it stands for election once a leader that it may have followed before can't serve any more.",
+		Field{"tookMillis", "how long the disk and the reading took"}, term, Field{"entries", "entries of the log"},
+		Field{"applied", "entries that a snapshot covers"}, Field{"group", "the group's number, 0 for a new folder"})
 	HostStartsOver = ofControl.warning(Change, "hostStartsOver", "This host starts over with a new data folder.",
 		"Its folder was replaced or is corrupt, and the group lives.", host)
 	HostFailed = ofControl.add(Failure, slog.LevelError, "hostFailed", "This host stops taking part for now.",
--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -6,6 +6,9 @@
 var (
 	RoutesInForce = ofEntry.change("routesInForce", "Routes are in force.",
 		"From now on callers' requests are led by this configuration; with the first one the entry takes work.", version)
+	RequestRefused = ofEntry.refusal("requestRefused", "A request was refused before it was read as a job.",
+		"Nothing of it was or will be run. Without a configuration the entry knows no route yet.",
+		job, reason, Field{"status", "status of the answer"}, retryAfter, problem)
 	JobReceived = ofEntry.success("jobReceived", "A job came in.",
 		"A caller's job was read and will be answered by this entry.",
 		job, service, kind, Field{"tasks", "tasks of the job"}, Field{"idealMillis", "expected time at a good worker"}, due, deadline, queue)
--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -123,6 +123,7 @@
 
 // reopen makes a node of the folder.
 func (h *Host) reopen() (*Node, error) {
+	began := time.Now()
 	if h.folder == nil {
 		folder, err := h.open()
 		if err != nil {
@@ -139,6 +140,8 @@
 		return nil, err
 	}
 	node.known = slices.Clone(known)
+	node.note(event.FolderRead, slog.Int64("tookMillis", time.Since(began).Milliseconds()), slog.Uint64("term", node.store.vote.GetTerm()),
+		slog.Int("entries", len(node.store.entries)), slog.Uint64("applied", node.applied), slog.Uint64("group", node.store.identity.GetGroup()))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.node = node
