Agents tell their worker's speed from the runs of all entries

Change: a launch names the run time that is expected at a worker of factor 1; the agent keeps the mean logarithm of run times over these, of the runs of all entries that are done, and tells it in its word. An entry takes the average that rests on more runs, its own or the agent's; after an agent's restart its own.

--- a/lib/job/kind.go
+++ b/lib/job/kind.go
@@ -5,8 +5,12 @@
 	"time"
 
 	"skylarklane.example/lib/placement"
+	"skylarklane.example/lib/wire"
 )
 
+// thousand is the unit of a speed on the wire.
+const thousand = 1000
+
 // trust is the number of samples that are worth as much as what was assumed
 // before.
 const trust = 3
@@ -36,16 +40,49 @@
 	return math.Exp(a.Log * kept * n / (n + trust))
 }
 
-// speed is what the desk has learned of a worker's life.
+// speed is what is known of the speed of a worker's life.
 type speed struct {
+	// factor is learned from the desk's own runs, the newest of which ended at.
 	factor placement.Average
 	at     time.Duration
+	// told is the agent's word, from the runs of all entries; it changed last
+	// at toldAt.
+	told   placement.Average
+	toldAt time.Duration
+}
+
+// known returns the average that rests on more runs, and its newest change.
+func (s speed) known() (placement.Average, time.Duration) {
+	if s.told.N > s.factor.N {
+		return s.told, s.toldAt
+	}
+	return s.factor, s.at
+}
+
+// withWord returns the speed after the agent's word.
+func (s speed) withWord(word *wire.WorkerState, now time.Duration) speed {
+	told := placement.Average{Log: float64(word.GetSpeed()) / thousand, N: int(word.GetTimedRuns())}
+	if told != s.told {
+		s.told, s.toldAt = told, now
+	}
+	return s
 }
 
 // value returns the run time at the worker over that at one of factor 1.
 func (s speed) value(now time.Duration) float64 {
-	kept := math.Exp(-float64(now-s.at) / float64(factorMemory))
-	return shrunk(s.factor, kept)
+	factor, at := s.known()
+	kept := math.Exp(-float64(now-at) / float64(factorMemory))
+	return shrunk(factor, kept)
+}
+
+// expectedAt is the run time of a run at a worker of factor 1, as far from its
+// rack as it is.
+func (d *Desk) expectedAt(r *run) time.Duration {
+	expected := r.work.kind.expected(r.task.step.estimate)
+	if r.remote {
+		expected = time.Duration(float64(expected) * d.cfg.Remote)
+	}
+	return expected
 }
 
 // factor is the worker's speed, less where most of its runs are overdue.
@@ -74,7 +111,10 @@
 		ratio /= d.cfg.Remote
 	}
 	sample := time.Duration(ratio * float64(time.Second))
-	r.work.kind.ratio, r.link.speed.factor = placement.Learn(r.work.kind.ratio, r.link.speed.factor, sample)
+	factor, _ := r.link.speed.known()
+	_, own := placement.Learn(r.work.kind.ratio, r.link.speed.factor, sample)
+	r.work.kind.ratio, _ = placement.Learn(r.work.kind.ratio, factor, sample)
+	r.link.speed.factor = own
 	r.link.speed.at = now
 }
 
--- a/lib/job/launch.go
+++ b/lib/job/launch.go
@@ -69,7 +69,11 @@
 // add puts a run into the order.
 func (o *launch) add(r *run) {
 	o.runs = append(o.runs, r)
-	o.q.Tasks = append(o.q.Tasks, &wire.LaunchTask{Run: r.id(), Need: r.need.Wire()})
+	o.q.Tasks = append(o.q.Tasks, &wire.LaunchTask{
+		Run:            r.id(),
+		Need:           r.need.Wire(),
+		ExpectedMillis: o.d.expectedAt(r).Milliseconds(),
+	})
 }
 
 // run sends the order and takes in the reply. It is never sent twice: a copy
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -130,6 +130,7 @@
 		l.speed = speed{}
 		l.conduct = placement.Conduct{}
 	}
+	l.speed = l.speed.withWord(word, now)
 	l.noteWord(word)
 	l.word = word
 	l.wordAt = now
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -94,6 +94,9 @@
 	}
 	r.phase = ended
 	l, task := r.life, r.key.task
+	if how == wire.RunHow_RUN_HOW_DONE {
+		l.learn(r, ran)
+	}
 	if r.number > 0 {
 		l.noteNumber(task, r.number, now)
 	}
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -83,6 +83,7 @@
 		session:    s,
 		life:       k.life,
 		need:       capacity.Of(t.GetNeed()),
+		expected:   time.Duration(t.GetExpectedMillis()) * time.Millisecond,
 		spec:       string(q.GetSpec()),
 		acceptedAt: k.steady(),
 	})
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarklane.example/lib/capacity"
+	"skylarklane.example/lib/placement"
 )
 
 // life is one life of the worker, from its first announcement until it is
@@ -41,7 +42,9 @@
 	active  map[string]*run
 	waiting map[string]*run
 	numbers map[string]number
-	strays  map[Running]*stray
+	// speed is its run times over those expected.
+	speed  placement.Average
+	strays map[Running]*stray
 	// kick asks for a hold at once.
 	kick    chan struct{}
 	retired bool
@@ -97,6 +100,14 @@
 
 func (l *life) free() capacity.Vector { return l.said.capacity().Minus(l.used()) }
 
+// learn takes in how long a task took that is done. The beginning of a run
+// whose start got no answer isn't known.
+func (l *life) learn(r *run, ran time.Duration) {
+	if !r.unanswered {
+		l.speed = l.speed.WithRun(ran, r.expected)
+	}
+}
+
 // isUnsettled tells whether the worker has left starts of a run unanswered, and
 // its stop so far.
 func (l *life) isUnsettled() bool {
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -41,7 +41,9 @@
 	session *session
 	life    *life
 	need    capacity.Vector
-	spec    string
+	// expected run time at a worker of factor 1, 0 if unknown.
+	expected time.Duration
+	spec     string
 	// number of the run at the worker.
 	number uint32
 	// step by which the number was last raised.
--- /dev/null
+++ b/lib/lease/speed_test.go
@@ -0,0 +1,38 @@
+package lease
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+func TestSpeedIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		expected int64
+		how      How
+		speed    int32
+		runs     uint32
+	}{
+		{"twice as long", 50, Done, 693, 1},
+		{"as expected", 100, Done, 0, 1},
+		{"nothing expected", 0, Done, 0, 0},
+		{"failed", 50, Failed, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			onDesk(t, func(d *desk) {
+				d.watch(entryOne, 0)
+				q := d.order(entryOne, 1, "a")
+				q.Tasks[0].ExpectedMillis = c.expected
+				_, err := d.k.Launch(context.Background(), q)
+				d.NoErr(err)
+				time.Sleep(100 * time.Millisecond)
+				d.w.finish("a", 1, c.how)
+				d.sleep(20)
+				word := d.watch(entryTwo, 0).GetWorker()
+				d.Equal(word.GetSpeed(), c.speed)
+				d.Equal(word.GetTimedRuns(), c.runs)
+			})
+		})
+	}
+}
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,6 +11,9 @@
 	"skylarklane.example/lib/wire"
 )
 
+// thousand is the unit of a speed on the wire.
+const thousand = 1000
+
 // board is the agent's word on its worker, and who waits for it.
 type board struct {
 	state   *wire.WorkerState
@@ -73,6 +77,8 @@
 	w.Free = notBelowZero(l.free()).Wire()
 	w.Labels = l.said.Labels
 	w.Cleared = l.cleared
+	w.Speed = int32(math.Round(thousand * l.speed.Log))
+	w.TimedRuns = uint32(l.speed.N)
 	return w
 }
 
--- a/lib/placement/average.go
+++ b/lib/placement/average.go
@@ -31,6 +31,15 @@
 	return a
 }
 
+// WithRun returns the average after a run that took so long where another time
+// was expected. Times that aren't positive tell nothing.
+func (a Average) WithRun(ran, expected time.Duration) Average {
+	if ran <= 0 || expected <= 0 {
+		return a
+	}
+	return a.WithStep(math.Log(float64(ran)/float64(expected)) - a.Log)
+}
+
 // Value returns the mean itself.
 func (a Average) Value() float64 { return math.Exp(a.Log) }
 
