A job's objective follows the usual worker, not the best

Three of eleven workers there take 0.55 of the declared time, eight 1.2 of it; our objective was stretch times the run time at the best one. So tasks waited for the fast workers (NotYet) though they were in time on a usual one, jobs counted as late or hopeless that were neither, and were refused with workers free. On the sizing site most workers are fast, so there it hardly showed.

Change: the objective is reckoned by the mean speed of the service's workers (placement.Usual), which doesn't depend on how kinds and workers share what was learned; when a job must start, and the least time it needs, still by the best one (placement.Best).

No test was changed.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -77,8 +77,10 @@
 	d.sequence++
 	w.sequence = d.sequence
 	w.count(d.capacityOf(j.Service))
-	w.best = d.bestFactor(j.Service, now)
-	w.ideal = w.remaining()
+	factors := d.factorsOf(j.Service, now)
+	w.best = placement.Best(factors)
+	w.least = w.remaining()
+	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * placement.Usual(factors))
 	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
 	d.jobs[j.ID] = w
 	d.noteReceived(w)
@@ -122,18 +124,13 @@
 	return Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter}
 }
 
-// bestFactor is the speed of the service's best worker.
-func (d *Desk) bestFactor(service string, now time.Duration) float64 {
-	best := 0.0
+// factorsOf are the speeds of a service's workers.
+func (d *Desk) factorsOf(service string, now time.Duration) []float64 {
+	var factors []float64
 	for _, l := range d.serving(service) {
-		if f := l.speed.value(now); best == 0 || f < best {
-			best = f
-		}
-	}
-	if best == 0 {
-		return 1
+		factors = append(factors, l.speed.value(now))
 	}
-	return best
+	return factors
 }
 
 // neverFits tells whether a step needs more than any worker of the service has
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -67,12 +67,12 @@
 	return cmp.Compare(a.sequence, b.sequence)
 }
 
-// startBy is when the job must start to make its objective.
+// startBy is when the job must start to make its objective at the best worker.
 func (w *work) startBy() time.Duration {
 	if w.objective.Due == 0 {
 		return w.deadlineAt
 	}
-	return w.dueAt() - w.ideal
+	return w.dueAt() - w.least
 }
 
 // late tells whether the job can't make its objective any more.
--- a/lib/job/work.go
+++ b/lib/job/work.go
@@ -26,7 +26,9 @@
 	deadlineAt time.Duration
 	// best is the speed factor of the best worker when the job came in.
 	best float64
-	// ideal is the expected time of its longest chain at a good worker.
+	// least and ideal are the expected times of its longest chain at the best
+	// and at the usual worker.
+	least     time.Duration
 	ideal     time.Duration
 	objective placement.Objective
 	// extra is how much longer its runs took than expected.
