--- a/lib/placement/candidate.go
+++ b/lib/placement/candidate.go
@@ -12,8 +12,6 @@
 	// slowFactor is the speed, as a part of the best, below which a worker
 	// counts as slow.
 	slowFactor = 0.7
-	// doubt is by how much a run at a slow worker may take longer than expected.
-	doubt = 1.15
 	// alike is how much later than at the best worker with room a task may end
 	// where another has more room.
 	alike = 1.1
@@ -83,7 +81,7 @@
 	if open == math.MaxInt64 {
 		return 0, NoRoom
 	}
-	if float64(open)*slowFactor > float64(best) && scale(open, doubt) > w.Left && best <= w.Left {
+	if float64(open)*slowFactor > float64(best) && open > w.Left && best <= w.Left {
 		return 0, NotYet
 	}
 	return w.roomiest(candidates, skip, open), Chosen
