explain: the entry's pause, its start, and what made a complete job late

The last one, and the missed pauses, came from the reader: a line that stands in another one that was cut off was passed over (skim) or took its time from some number in the cut line, and seconds before zero lost their sign.

Change: causes entryPaused, entryStarted, callerLeft, overdue; agents lost and workers ejected count for one life of the entry only; the reader takes the time of the whole line. overdue looks at the run that ended last, and says so where the lines of that run were left out rather than naming another run.

Ruled out: blaming the workers where a task failed on three of them.

Conclusion: what sampling leaves out of successes limits late jobs; an event of its own for a late job, with its last run, would close that (lib/job).

--- a/internal/story/cause_late.go
+++ b/internal/story/cause_late.go
@@ -10,6 +10,7 @@
 
 // rulesAbandoned explain a job whose caller left or whose deadline passed.
 var rulesAbandoned = []rule{
+	{"entryPaused", explainEntryPaused},
 	reasonIs("processStopped", "processStopped", func(s *Story, end *Line) string {
 		return fmt.Sprintf("Entry %s was itself stopped for a while%s.", end.Process, pauseOf(s, end))
 	}),
@@ -29,16 +30,8 @@
 		}
 		return ""
 	}},
-	{"slowRun", func(s *Story) string {
-		end := s.end()
-		for _, r := range s.Runs {
-			if r.Placed != nil && (!r.settled() || r.how() == "stopped") {
-				return fmt.Sprintf("Run %s had worked on worker %s for %d ms when the job was given up (%s).",
-					r.Name(), orUnknown(r.Worker), end.At.Sub(r.Placed.At).Milliseconds(), end.Fields[fieldReason])
-			}
-		}
-		return ""
-	}},
+	{"slowRun", explainSlowRun},
+	{"callerLeft", explainCallerLeft},
 	{"abandoned", func(s *Story) string {
 		return fmt.Sprintf("The job was given up at entry %s for the reason %s.", s.end().Process, orUnknown(s.end().Fields[fieldReason]))
 	}},
@@ -54,6 +47,7 @@
 		first := s.Jobs[0]
 		return fmt.Sprintf("The job came in %d times; entry %s did not answer the first time. %s", len(s.Jobs), first.Entry(), whatBefell(s, first))
 	}},
+	{"overdue", explainOverdue},
 	{"retried", func(s *Story) string {
 		for _, r := range s.Runs {
 			if r.Retried != nil || r.Refused != nil {
--- a/internal/story/cause_refused.go
+++ b/internal/story/cause_refused.go
@@ -13,6 +13,8 @@
 
 // rulesRefused explain a request that was refused and not run.
 var rulesRefused = []rule{
+	{"entryPaused", explainEntryPaused},
+	{"callerLeft", explainCallerLeft},
 	reasonIs("entryLeaving", "leaving", func(_ *Story, end *Line) string {
 		return fmt.Sprintf("Entry %s was shutting down and took nothing new.", end.Process)
 	}),
@@ -25,6 +27,7 @@
 	reasonIs("sentAgain", "sentAgain", func(_ *Story, end *Line) string {
 		return fmt.Sprintf("The caller sent the job again while entry %s still had it.", end.Process)
 	}),
+	{"entryStarted", explainEntryStarted},
 	{"agentsLost", explainAgentsLost},
 	{"allEjected", explainAllEjected},
 	{"noWorkers", explainNoWorkers},
@@ -55,6 +58,21 @@
 	return fmt.Sprintf(", and by its knowledge %s of %s workers had room", room, orUnknown(known))
 }
 
+// explainEntryStarted tells of an entry that knew no worker as it had just
+// started.
+func explainEntryStarted(s *Story) string {
+	end := s.end()
+	if end.Fields[fieldReason] != "noWorkers" {
+		return ""
+	}
+	for _, l := range s.of(event.ProcessStarted) {
+		if l.owner() == end.owner() && !l.At.After(end.At) {
+			return fmt.Sprintf("Entry %s had started %d ms before and had no agent's word yet.", end.Process, end.At.Sub(l.At).Milliseconds())
+		}
+	}
+	return ""
+}
+
 func explainAgentsLost(s *Story) string {
 	end := s.end()
 	if hasRoom(end) {
@@ -62,7 +80,7 @@
 	}
 	lost := map[string]bool{}
 	for _, l := range s.of(event.AgentLost, event.AgentRegained) {
-		if l.Process == end.Process && !l.At.After(end.At) {
+		if l.owner() == end.owner() && !l.At.After(end.At) {
 			lost[l.Fields[fieldAgent]] = l.is(event.AgentLost)
 		}
 	}
@@ -78,7 +96,7 @@
 	end := s.end()
 	out := map[string]bool{}
 	for _, l := range s.of(event.WorkerEjected, event.WorkerReadmitted) {
-		if l.Process == end.Process && !l.At.After(end.At) {
+		if l.owner() == end.owner() && !l.At.After(end.At) {
 			out[l.Worker()] = l.is(event.WorkerEjected)
 		}
 	}
--- a/internal/story/line.go
+++ b/internal/story/line.go
@@ -30,6 +30,10 @@
 	fieldAge         = "ageMillis"
 	fieldRuns        = "runs"
 	fieldDetail      = "detail"
+	fieldDeadline    = "deadlineMillis"
+	fieldDue         = "dueMillis"
+	fieldAnswered    = "answeredMillis"
+	fieldEnded       = "endedMillis"
 )
 
 // unknownUp is the time since its start of a process that told none.
--- a/internal/story/parse.go
+++ b/internal/story/parse.go
@@ -20,9 +20,11 @@
 	pairStart = regexp.MustCompile(`(?:^|\s)([A-Za-z][\w.]*)=`)
 	// prefixSeconds finds a time in seconds before the line proper, as a
 	// program that gathers the output of many processes puts it there.
-	prefixSeconds = regexp.MustCompile(`\d+\.\d+`)
+	prefixSeconds = regexp.MustCompile(`(?:^|[\s\[])(-?\d+\.\d+)`)
 	// prefixName finds the name of a process there.
-	prefixName = regexp.MustCompile(`\b[A-Za-z][\w./-]*`)
+	prefixName = regexp.MustCompile(`\b([A-Za-z][\w./-]*)`)
+	// prefixEnd finds a whole prefix right before a line.
+	prefixEnd = regexp.MustCompile(`\d+\.\d+\S*\s+[A-Za-z][\w./-]*[\s|]*$`)
 )
 
 // parse reads one line of a log: JSON or key=value text, after any prefix. It
@@ -40,25 +42,40 @@
 	return l
 }
 
-// readJSON reads the first JSON object of text and returns what is before it.
+// readJSON reads the first whole JSON object of text and returns the prefix that
+// it has.
 func (l *Line) readJSON(text string) (prefix string, ok bool) {
 	from := 0
+	first := ""
 	for {
 		start := strings.Index(text[from:], objectStart)
 		if start < 0 {
 			return "", false
 		}
 		start += from
+		if from == 0 {
+			first = text[:start]
+		}
 		decoder := json.NewDecoder(strings.NewReader(text[start:]))
 		if _, err := decoder.Token(); err == nil && l.readObject(decoder, "") {
-			return text[from:start], true
+			return prefixOf(first, text[from:start]), true
 		}
-		// Another process may have cut the line off: go on in what it wrote.
+		// The line may be cut off: go on in what follows, of another process or
+		// the same one.
 		*l = Line{Up: unknownUp, Fields: map[string]string{}}
 		from = start + len(objectStart)
 	}
 }
 
+// prefixOf returns the prefix of a line that stands after others: its own, or
+// that of the first one where it has none.
+func prefixOf(first, before string) string {
+	if prefixEnd.MatchString(before) {
+		return before
+	}
+	return first
+}
+
 // readObject reads the rest of an object; nested names are joined by dots.
 func (l *Line) readObject(decoder *json.Decoder, path string) bool {
 	for decoder.More() {
@@ -166,9 +183,9 @@
 // last returns the last match of r, as what is before the prefix may belong to
 // a line that was cut off.
 func last(r *regexp.Regexp, text string) string {
-	all := r.FindAllString(text, -1)
+	all := r.FindAllStringSubmatch(text, -1)
 	if len(all) == 0 {
 		return ""
 	}
-	return all[len(all)-1]
+	return all[len(all)-1][1]
 }
--- a/internal/story/run.go
+++ b/internal/story/run.go
@@ -79,6 +79,8 @@
 	Ended   *Line
 	Retried *Line
 	Refused *Line
+	// Halted is the entry's order to stop it, if any.
+	Halted *Line
 	// Unanswered is the launch that got no answer, if any.
 	Unanswered *Line
 }
@@ -180,6 +182,9 @@
 		r.Started = l
 	case l.is(event.RunStopped, event.RunHalted):
 		r.Stopped = l
+		if l.is(event.RunHalted) {
+			r.Halted = l
+		}
 	case l.is(event.RunEnded, event.RunFinished):
 		r.Ended = l
 	case l.is(event.RunRetried):
--- a/internal/story/skim.go
+++ b/internal/story/skim.go
@@ -23,8 +23,8 @@
 	if strings.Contains(text, job) || !strings.Contains(text, markJob) && !strings.Contains(text, markTask) {
 		return nil
 	}
-	if event.Lookup(between(text, markEvent)) == nil {
-		return nil
+	if event.Lookup(between(text, markEvent)) == nil || strings.Count(text, markTime) > 1 {
+		return nil // a second line may stand in one that was cut off
 	}
 	l := &Line{Up: unknownUp}
 	l.set(fieldMessage, between(text, markMessage))
--- a/internal/story/story_test.go
+++ b/internal/story/story_test.go
@@ -25,6 +25,8 @@
 		again    = "2.010 entry-1 jobPlaced job=j task=j.0.0.0 attempt=2 worker=w2 agent=a2"
 		done     = "2.500 entry-1 runEnded job=j task=j.0.0.0 attempt=2 worker=w2 how=done"
 		complete = "2.501 entry-1 jobEnded job=j state=complete startedMillis=10 endedMillis=1500 answeredMillis=1501"
+		due      = "1.000 entry-1 jobReceived job=j tasks=2 idealMillis=100 deadlineMillis=3000"
+		overdue  = "1.601 entry-1 jobEnded job=j dueMillis=400 endedMillis=600 answeredMillis=601"
 		stopped  = "2.100 entry-1 jobAbandoned job=j reason=deadline waitedMillis=1100"
 	)
 	tests := []struct {
@@ -50,6 +52,18 @@
 		{"given up, order unanswered", []string{received, placed, "1.5 a1 orderUnanswered job=j task=j.0.0.0 worker=w1 what=start tries=3", stopped}, "orderUnanswered", "j.0.0.0"},
 		{"given up in the queue", []string{received, stopped}, "neverPlaced", "deadline"},
 		{"given up while working", []string{received, placed, stopped}, "slowRun", "for 1090 ms"},
+		{"given up, entry paused", []string{received, placed, "9.0 entry-1 processPaused gapMillis=7900", "9.001 entry-1 jobAbandoned job=j reason=callerLeft answeredMillis=8001"}, "entryPaused", "7900 ms, until 8000 ms after"},
+		{"refused, entry paused before", []string{"0.990 entry-1 processPaused gapMillis=6206", received, "1.001 entry-1 jobRefused job=j reason=hopeless workersWithRoom=8 workersKnown=11"}, "entryPaused", "10 ms before"},
+		{"given up, another entry paused", []string{received, placed, "1.2 entry-2 processPaused gapMillis=7900", "1.3 entry-1 runHalted job=j task=j.0.0.0 attempt=1 reason=jobEnded expectedMillis=400", "1.3 entry-1 jobAbandoned job=j reason=callerLeft answeredMillis=300 dueMillis=500 tasksLeft=1 running=1"}, "callerLeft", "left after 300 ms"},
+		{"given up, too little time", []string{"1.000 entry-1 jobReceived job=j deadlineMillis=160 idealMillis=173", "1.161 entry-1 jobAbandoned job=j reason=callerLeft answeredMillis=161"}, "neverPlaced", "callerLeft"},
+		{"refused, too little time", []string{"1.000 entry-1 jobReceived job=j deadlineMillis=160 idealMillis=173", "1.161 entry-1 jobRefused job=j reason=callerLeft answeredMillis=161"}, "callerLeft", "takes 173 ms"},
+		{"refused, entry just started", []string{"0.1 entry-1 agentLost agent=a1 incarnation=1", "0.5 entry-1 processStarted incarnation=2", "1.000 entry-1 jobReceived job=j incarnation=2", "1.1 entry-1 jobRefused job=j reason=noWorkers workersKnown=0 incarnation=2"}, "entryStarted", "600 ms before"},
+		{"refused, agents lost by the entry's last life", []string{"0.1 entry-1 agentLost agent=a1 incarnation=1", "1.000 entry-1 jobReceived job=j incarnation=2", "1.1 entry-1 jobRefused job=j reason=queueFull queue=5 workersWithRoom=0 workersKnown=1 incarnation=2"}, "queueFull", "5 waited"},
+		{"late, slow run", []string{due, placed, "1.05 entry-1 jobPlaced job=j task=j.0.0.1 attempt=1 worker=w3", "1.2 a1 runFinished task=j.0.0.0 attempt=1 entry=entry-1 worker=w1 how=done", "1.6 a3 runFinished task=j.0.0.1 attempt=1 entry=entry-1 worker=w3 how=done", overdue}, "overdue", "j.0.0.1/1 took 550 ms on worker w3"},
+		{"late, waited for room", []string{due, placed, "1.02 entry-1 runRefused job=j task=j.0.0.1 attempt=1 reason=refused detail=noRoom", "1.5 entry-1 jobPlaced job=j task=j.0.0.1 attempt=2 worker=w3", "1.2 a1 runFinished task=j.0.0.0 attempt=1 entry=entry-1 worker=w1 how=done", overdue}, "overdue", "j.0.0.1 waited 500 ms for room at a worker (1 launches"},
+		{"late, run failed", []string{due, placed, "1.4 entry-1 runRetried job=j task=j.0.0.0 attempt=1 worker=w1 reason=failed", "1.5 entry-1 jobPlaced job=j task=j.0.0.0 attempt=2 worker=w2", "1.05 entry-1 jobPlaced job=j task=j.0.0.1 attempt=1 worker=w3", "1.1 a3 runFinished task=j.0.0.1 attempt=1 entry=entry-1 worker=w3 how=done", overdue}, "overdue", "j.0.0.0/1 at worker w1 did not count (failed)"},
+		{"late, ends left out", []string{due, placed, "1.05 entry-1 jobPlaced job=j task=j.0.0.1 attempt=1 worker=w3", overdue}, "overdue", "left out; the latest that is known, j.0.0.1/1"},
+		{"late, answer held", []string{due, placed, "1.61 entry-1 jobEnded job=j dueMillis=400 endedMillis=300 answeredMillis=610"}, "overdue", "done 310 ms before its answer"},
 		{"sent again", []string{received, placed, "1.5 entry-1 processFailed error=x", "2.400 entry-2 jobReceived job=j", "2.6 entry-2 jobEnded job=j"}, "cameAgain", "entry-1 was lost"},
 		{"entry restarted", []string{"1.000 entry-1 jobReceived job=j incarnation=1", "1.2 entry-1 processStarted incarnation=2"}, "entryLost", "incarnation 2"},
 		{"lines left out", []string{received, "1.2 entry-1 linesLeftOut sampledOut.jobEnded=4"}, "linesLeftOut", ""},
@@ -127,6 +141,7 @@
 		{"prefixed text", `12.345s front-a time=2026-01-01T00:00:00Z msg=x event=jobRefused job=j reason=late`, "front-a", "j", "jobRefused", "late", false},
 		{"nested", `{"msg":"x","process":"e1","job":"j","event":"a","free":{"cpu":3},"reason":"late"}`, "e1", "j", "a", "late", false},
 		{"cut off by another", `12.345 front-b {"time":"2026-01-01T00:00:00Z","msg":"a  12.346 front-a {"msg":"entry: x.","event":"jobRefused","job":"j","reason":"late"}`, "front-a", "j", "jobRefused", "late", false},
+		{"cut off by itself", `  8.706 front-a/entry {"time":"2026-01-01T00:00:00Z","event":"jobReceived","job":"i","factor":0.25,"process":{"time":"2026-01-01T00:00:01Z","msg":"entry: x.","process":"front-a","event":"processPaused","reason":"late"}`, "front-a", "", "processPaused", "late", false},
 		{"other text", `panic: a=b`, "", "", "", "", true},
 		{"cut off", `{"msg":"x","job":"j`, "", "", "", "", true},
 		{"empty", ``, "", "", "", "", true},
@@ -147,6 +162,15 @@
 	}
 }
 
+// TestPrefixOfCutLine has a line that stands in another one keep the time of
+// the whole line, also one before the start of the clock.
+func TestPrefixOfCutLine(t *testing.T) {
+	is := is.New(t)
+	const text = `  -8.706 front-a/entry {"time":"x","event":"jobReceived","job":"i","factor":0.25,"process":{"time":"y","msg":"entry: x.","event":"processPaused"}`
+	is.Equal(skim(text, "other"), nil)
+	is.Equal(parse(text).At.UnixMilli(), int64(-8706))
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(`12.3 a {"msg":"x","a":{"b":1}}`)
 	f.Add(`time=x msg="y z" a=b`)
