--- a/lib/process/log_writer.go
+++ b/lib/process/log_writer.go
@@ -12,7 +12,7 @@
 
 const (
 	// flushDelay is how long lines wait for others to be written with them.
-	flushDelay = 20 * time.Millisecond
+	flushDelay = 100 * time.Millisecond
 	// maxWriteBytes is about how much is written at once.
 	maxWriteBytes = 64 << 10
 	// leftOutInterval is how often the log tells what was left out.
