Kept jobs: run by the desk, noted in a store, taken over by another entry

Kept jobs were refused; nothing of a job outlived its entry. Change: job.Keeper has a desk run jobs of a wire.JobStore: Keep before the answer, one batched Note in flight for ends and last states, claims of jobs without an owner, their agents asked first (Runner.TakeRuns). Runs are numbered from (epoch-1)<<12. An agent holds the acknowledgement of a kept run's end back until its entry has seen it stored (Runner.Settle, ends_told), 15 s at most once the session is over, which is counted. Launches carry the epoch; a former owner's are refused. Conclusion: not reachable from a process yet; the platform's front still refuses kept jobs.

--- a/lib/event/agent.go
+++ b/lib/event/agent.go
@@ -27,6 +27,9 @@
 	OrderRefused = ofAgent.failure("orderRefused", "The worker refused an order.",
 		"The worker named a reason; the agent corrects what it believed.",
 		job, task, run, worker, what, reason, free, need)
+	EndGivenUp = ofAgent.warning(Failure, "endGivenUp", "An end was acknowledged that nobody has stored.",
+		"The session of the entry is over and no other entry has taken its job over in time; the task may run again.",
+		task, attempt, how, age)
 	WorkerCame = ofAgent.change("workerCame", "A worker announced itself.",
 		"The agent may start runs once it holds the worker's lease.", worker, service, life, free, Field{"labels", "labels of the worker"}, address)
 	WorkerSilent = ofAgent.warning(Change, "workerSilent", "The worker does not answer.",
--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -37,6 +37,22 @@
 	JobAbandoned = ofEntry.failure("jobAbandoned", "A job was given up.",
 		"The caller left, its deadline passed or the entry must end; all runs of the job are being stopped.",
 		job, service, reason, tasksLeft, running, started, answered, due, queue, known, roomy, age)
+	JobKept = ofEntry.success("jobKept", "A job is stored.",
+		"The store has synced the job; this entry, if it has an epoch, runs it.",
+		job, service, kind, Field{"tasks", "tasks of the job"}, epoch, Field{"tookMillis", "until the store answered"})
+	JobNotKept = ofEntry.refusal("jobNotKept", "A job is not stored.",
+		"The store refused the job, or gave no clear answer; the caller is told which.", job, service, kind, reason, problem)
+	JobTakenOver = ofEntry.change("jobTakenOver", "This entry runs a job of a former owner.",
+		"Its agents are asked for runs and ends of the job before any task starts.",
+		job, service, kind, tasksLeft, epoch)
+	JobReady = ofEntry.change("jobReady", "A job that was taken over goes on.",
+		"All agents were asked, or their runs are surely over.", job, tasksLeft, Field{"unasked", "agents that could not be asked"}, waited)
+	JobLost = ofEntry.warning(Change, "jobLost", "A kept job is not this entry's any more.",
+		"The store says so, or the entry's own lease is over; its runs are being stopped.", job, reason, epoch, running)
+	KeptJobEnded = ofEntry.success("keptJobEnded", "A kept job has ended.",
+		"Its last state is stored; callers that ask are told so.", job, service, Field{"state", "completed, failed or cancelled"}, epoch, ended)
+	StoreUnanswered = ofEntry.warning(Failure, "storeUnanswered", "The job store gave no answer.",
+		"The call is made again; ends are not acknowledged meanwhile.", Field{"what", "the call"}, Field{"notes", "jobs concerned"}, problem)
 	LaunchUnanswered = ofEntry.warning(Failure, "launchUnanswered", "A launch got no answer.",
 		"Its runs are halted: they may have started.", job, Field{"runs", "the runs, TASK/ATTEMPT each"}, agent, worker, problem)
 	HaltUnanswered = ofEntry.warning(Failure, "haltUnanswered", "An order to halt got no answer.",
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -57,6 +57,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if earlier := d.jobs[j.ID]; earlier != nil {
+		if earlier.kept != nil {
+			return nil, nil, d.refuse(j, reasonKept)
+		}
 		d.finish(earlier, d.stopped(earlier, reasonSentAgain))
 		return nil, earlier, Outcome{}
 	}
@@ -97,7 +100,7 @@
 
 // mayWait gives up a new job that found no room and will hardly get any.
 func (d *Desk) mayWait(w *work, now time.Duration) {
-	if len(d.queue) > d.cfg.MaxQueued {
+	if d.queuedBestEffort() > d.cfg.MaxQueued {
 		d.giveUp(w, reasonQueueFull)
 		return
 	}
--- a/lib/job/desk.go
+++ b/lib/job/desk.go
@@ -74,6 +74,8 @@
 	seen     map[string][]seenWorker
 	attempts map[string]attemptMark
 	leaving  bool
+	// keeper stores what becomes of kept jobs, nil where none are taken.
+	keeper   *Keeper
 	sequence uint64
 	// tickedAt is when deadlines were looked at last.
 	tickedAt time.Duration
@@ -161,7 +163,7 @@
 	d.leaving = true
 	var open []*work
 	for _, w := range d.jobs {
-		if !w.answered {
+		if !w.answered && w.kept == nil {
 			open = append(open, w)
 		}
 	}
--- a/lib/job/fake_test.go
+++ b/lib/job/fake_test.go
@@ -63,6 +63,7 @@
 // fakeRun is a run at a fake agent.
 type fakeRun struct {
 	need  capacity.Vector
+	epoch uint64
 	began time.Time
 	timer *time.Timer
 }
@@ -187,7 +188,7 @@
 		a.sessions[entry] = latest(a.sessions[entry], earliest(until, asked))
 	}
 	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool { return known && e.GetNumber() <= q.GetEndsSeen() })
-	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.ends[entry]) == 0
+	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.untold(entry, q)) == 0
 	a.mu.Unlock()
 	if none {
 		select {
@@ -199,7 +200,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
-		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: slices.Clone(a.ends[entry])}, nil
+		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: a.untold(entry, q)}, nil
+}
+
+// untold lists the ends that the entry has not been told.
+func (a *fakeAgent) untold(entry string, q *wire.WatchRequest) []*wire.RunEnd {
+	return slices.DeleteFunc(slices.Clone(a.ends[entry]), func(e *wire.RunEnd) bool {
+		return q.GetAgent().GetNumber() == a.number && e.GetNumber() <= q.GetEndsTold()
+	})
 }
 
 // lapse ends the runs of sessions that are over.
@@ -255,7 +263,7 @@
 	after, how := a.behave(key.task, key.attempt)
 	a.free = a.free.Minus(need)
 	a.launched = append(a.launched, key.runKey)
-	a.runs[key] = &fakeRun{need: need, began: time.Now(), timer: time.AfterFunc(after, func() {
+	a.runs[key] = &fakeRun{need: need, epoch: q.GetEpoch(), began: time.Now(), timer: time.AfterFunc(after, func() {
 		a.set(func() { a.end(key, how, time.Now()) })
 	})}
 	return ""
@@ -272,13 +280,14 @@
 	a.barred[key] = true
 	a.free = a.free.Plus(r.need)
 	a.spans = append(a.spans, span{key.task, r.began, at})
-	a.list(key, how, at.Sub(r.began))
+	a.list(key, how, at.Sub(r.began)).Epoch = r.epoch
 }
 
-func (a *fakeAgent) list(key fakeKey, how wire.RunHow, ran time.Duration) {
+func (a *fakeAgent) list(key fakeKey, how wire.RunHow, ran time.Duration) *wire.RunEnd {
 	a.numbered++
-	a.ends[key.entry] = append(a.ends[key.entry], &wire.RunEnd{Number: a.numbered,
-		Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: ran.Milliseconds()})
+	end := &wire.RunEnd{Number: a.numbered, Run: &wire.RunId{Task: key.task, Attempt: key.attempt}, How: how, RunMillis: ran.Milliseconds()}
+	a.ends[key.entry] = append(a.ends[key.entry], end)
+	return end
 }
 
 // Halt implements wire.Runner.
--- a/lib/job/finish.go
+++ b/lib/job/finish.go
@@ -18,6 +18,7 @@
 		}
 	}
 	d.noteFinish(w, now)
+	d.keeper.noteEnded(w)
 	d.release(w)
 }
 
@@ -38,7 +39,7 @@
 
 // release forgets a job that is answered and of which no run is left.
 func (d *Desk) release(w *work) {
-	if !w.answered || w.live > 0 || d.jobs[w.ID] != w {
+	if !w.answered || w.live > 0 || w.kept.isOpen() || d.jobs[w.ID] != w {
 		return
 	}
 	delete(d.jobs, w.ID)
--- /dev/null
+++ b/lib/job/kept_test.go
@@ -0,0 +1,208 @@
+package job
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
+)
+
+const (
+	queued    = wire.JobState_JOB_STATE_QUEUED
+	running   = wire.JobState_JOB_STATE_RUNNING
+	completed = wire.JobState_JOB_STATE_COMPLETED
+	failedJob = wire.JobState_JOB_STATE_FAILED
+	cancelled = wire.JobState_JOB_STATE_CANCELLED
+)
+
+// keptJob is a job of two steps.
+func keptJob(id string) Job {
+	j := newJob(id, 3)
+	j.Deadline = time.Time{}
+	j.Steps = append(j.Steps, Step{Count: 2, Need: j.Steps[0].Need, After: []int{0}})
+	return j
+}
+
+func TestKeptCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 4000, takes(50*time.Millisecond))
+		s := newStore()
+		k, _, _ := startKeeper(t, "e1", s, a)
+		began := time.Now()
+		is.Equal(k.d.Submit(t.Context(), keptJob("j0")), Outcome{State: Complete})
+		bestEffort := time.Since(began)
+		began = time.Now()
+		is.Equal(k.Keep(t.Context(), keptJob("j1")).State, IsKept)
+		is.Equal(k.Keep(t.Context(), keptJob("j1")).State, IsKept) // the same job again is one job
+		for s.state("j1") != completed {
+			time.Sleep(time.Millisecond)
+		}
+		is.True(time.Since(began) <= bestEffort+2*storeTime+10*time.Millisecond)
+		is.Equal(a.started(), 10)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(a.listed(), 0) // all ends are taken note of
+		is.Equal(len(k.d.jobs), 0)
+		state, known, err := k.Read(t.Context(), "j1")
+		is.NoErr(err)
+		is.True(known && state == completed)
+	})
+}
+
+func TestKeptEnds(t *testing.T) {
+	tests := []struct {
+		name   string
+		behave behaviour
+		// then is done once the job runs.
+		then   func(k *Keeper, s *fakeStore)
+		state  wire.JobState
+		starts int
+	}{
+		{name: "attempts", behave: fails, state: failedJob, starts: 3},
+		{name: "cancelled here", behave: takes(time.Hour), state: cancelled, starts: 1, then: func(k *Keeper, _ *fakeStore) {
+			_, _ = k.Cancel(k.d.ctx, "j1")
+		}},
+		{name: "cancelled elsewhere", behave: takes(time.Hour), state: cancelled, starts: 1, then: func(_ *Keeper, s *fakeStore) {
+			s.set(func() { s.records["j1"].State = cancelled })
+		}},
+		{name: "store away for a while", behave: takes(300 * time.Millisecond), state: completed, starts: 1, then: func(_ *Keeper, s *fakeStore) {
+			s.set(func() { s.down = true })
+			time.AfterFunc(5*time.Second, func() { s.set(func() { s.down = false }) })
+		}},
+		{name: "answers of the store lost", behave: takes(300 * time.Millisecond), state: completed, starts: 1, then: func(_ *Keeper, s *fakeStore) {
+			s.set(func() { s.lost = true })
+			time.AfterFunc(5*time.Second, func() { s.set(func() { s.lost = false }) })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := newFake("a", 4000, test.behave)
+				s := newStore()
+				k, _, _ := startKeeper(t, "e1", s, a)
+				j := newJob("j1", 1)
+				is.Equal(k.Keep(t.Context(), j).State, IsKept)
+				time.Sleep(20 * time.Millisecond)
+				if test.then != nil {
+					test.then(k, s)
+				}
+				time.Sleep(200 * time.Millisecond)
+				if test.behave != nil && test.state == completed {
+					time.Sleep(time.Second)
+					is.True(a.listed() > 0) // an end that is not stored is not forgotten
+				}
+				time.Sleep(8 * time.Second)
+				is.Equal(s.state("j1"), test.state)
+				is.Equal(a.started(), test.starts)
+				is.Equal(a.live(), 0)
+				is.Equal(a.listed(), 0)
+				is.Equal(len(k.d.jobs), 0)
+			})
+		})
+	}
+}
+
+// TestKeptReplyLost has a job run whose storing got no answer.
+func TestKeptReplyLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 4000, takes(50*time.Millisecond))
+		s := newStore()
+		k, _, _ := startKeeper(t, "e1", s, a)
+		s.set(func() { s.lost = true })
+		is.Equal(k.Keep(t.Context(), keptJob("j1")).State, Unclear)
+		s.set(func() { s.lost = false })
+		time.Sleep(3 * time.Second)
+		is.Equal(s.state("j1"), completed)
+		is.Equal(a.started(), 5)
+	})
+}
+
+// TestKeptTakenOver has another entry finish what a dead one has begun.
+func TestKeptTakenOver(t *testing.T) {
+	tests := []struct {
+		name string
+		// down keeps the first entry from storing ends before it dies.
+		down bool
+		// starts in all: tasks that were at work are run again, done ones aren't.
+		starts int
+	}{
+		{name: "ends stored", starts: 7},
+		{name: "ends not stored", down: true, starts: 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				// Three tasks are done soon, two are at work when the entry dies.
+				a := newFake("a", 5000, func(task string, attempt uint32) (time.Duration, wire.RunHow) {
+					if attempt < 1<<attemptsPerOwner && (task == "j1.0.0.3" || task == "j1.0.0.4") {
+						return time.Hour, wire.RunHow_RUN_HOW_DONE
+					}
+					return 50 * time.Millisecond, wire.RunHow_RUN_HOW_DONE
+				})
+				s := newStore()
+				first, _, stop := startKeeper(t, "e1", s, a)
+				second, _, _ := startKeeper(t, "e2", s, a)
+				is.Equal(first.Keep(t.Context(), newJob("j1", 5)).State, IsKept)
+				s.set(func() { s.down = test.down })
+				time.Sleep(400 * time.Millisecond)
+				stop()
+				time.Sleep(2 * time.Second)
+				s.set(func() { s.down = false; s.dead["e1"] = true })
+				time.Sleep(5 * time.Second)
+				is.Equal(s.state("j1"), completed)
+				is.Equal(a.started(), test.starts)
+				is.Equal(a.listed(), 0)
+				is.Equal(len(second.d.jobs), 0)
+			})
+		})
+	}
+}
+
+// TestKeptLeaseOver has an entry stop its runs when its own lease is over.
+func TestKeptLeaseOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFake("a", 4000, takes(time.Hour))
+		s := newStore()
+		k, member, _ := startKeeper(t, "e1", s, a)
+		is.Equal(k.Keep(t.Context(), newJob("j1", 2)).State, IsKept)
+		time.Sleep(time.Second)
+		is.Equal(a.live(), 2)
+		member.end()
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(a.live(), 0)
+		is.Equal(len(k.d.jobs), 0)
+		is.Equal(k.Keep(t.Context(), newJob("j2", 2)).State, NotKept)
+		is.Equal(s.state("j1"), running)
+	})
+}
+
+// TestKeptAgentRestarted takes over an end that the agent's predecessor left.
+func TestKeptAgentRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newFake("a", 1000, takes(100*time.Millisecond)), newFake("b", 1000, takes(100*time.Millisecond))
+		s := newStore()
+		k, _, _ := startKeeper(t, "e1", s, a, b)
+		is.Equal(k.Keep(t.Context(), newJob("j1", 2)).State, IsKept)
+		time.Sleep(50 * time.Millisecond)
+		a.cut("from Watch")
+		time.Sleep(20 * time.Millisecond)
+		a.restart(300 * time.Millisecond)
+		a.set(func() {
+			for key := range a.orphans {
+				a.list(fakeKey{"former", key.runKey}, wire.RunHow_RUN_HOW_DONE, 0)
+			}
+		})
+		a.cut()
+		time.Sleep(3 * time.Second)
+		is.Equal(s.state("j1"), completed)
+		is.Equal(a.started()+b.started(), 2) // the task that was done is not run again
+	})
+}
--- a/lib/job/launch.go
+++ b/lib/job/launch.go
@@ -51,6 +51,7 @@
 		Worker:         l.word.GetId(),
 		Spec:           w.Spec,
 		Priority:       w.Kind.GetPriority(),
+		Epoch:          w.kept.ownerEpoch(),
 	}}
 }
 
@@ -165,6 +166,7 @@
 	d.unreserve(r)
 	w := r.work
 	r.ranAtAll(true)
+	d.keeper.noteStarted(w)
 	if w.startedAt == 0 {
 		w.startedAt = now
 		d.noteDelay(w, now)
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -66,7 +66,10 @@
 	// sessionEnd is when the session has surely ended on the desk's clock,
 	// unless it is renewed.
 	sessionEnd time.Duration
-	endsSeen   uint64
+	// endsSeen is the newest end that was taken in.
+	endsSeen uint64
+	// unstored are ends of kept runs that are taken in and not stored.
+	unstored []*keptEnd
 	// contestedUntil is until when entries are taken to compete for its room.
 	contestedUntil time.Duration
 	// pausedUntil is when launches may be sent again after a refusal.
@@ -76,6 +79,7 @@
 	// orphans are runs under earlier incarnations of the agent.
 	orphans []*run
 	halter  halter
+	taker   taker
 
 	speed   speed
 	conduct placement.Conduct
--- a/lib/job/place.go
+++ b/lib/job/place.go
@@ -39,6 +39,9 @@
 	d.sortQueue(now)
 	p := &pass{d: d, now: now, fields: map[string]*field{}}
 	d.queue = slices.DeleteFunc(d.queue, func(w *work) bool {
+		if !w.kept.mayStart() {
+			return false
+		}
 		p.serve(w)
 		w.queued = len(w.pending) > 0
 		return !w.queued
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -109,6 +109,9 @@
 // it is worth something. Once it was held for a while, it must be likely to
 // make its objective.
 func (w *work) hopeless(b placement.Backlog, delay, now time.Duration) bool {
+	if w.kept != nil {
+		return false
+	}
 	last := w.lastAt()
 	waited := now - w.receivedAt
 	if b.Capacity == 0 && waited > workersPatience {
--- a/lib/job/reason.go
+++ b/lib/job/reason.go
@@ -20,6 +20,10 @@
 	reasonRestarted  = "agentRestarted"
 	reasonGap        = "processStopped"
 	reasonNotSent    = "notSent"
+	reasonKept       = "keptUnderThisId"
+	reasonCancelled  = "cancelled"
+	reasonNotOwner   = "notOwner"
+	reasonNoLease    = "leaseOver"
 
 	// causeRefused is why a run whose agent refused it is placed again.
 	causeRefused = "refused"
--- a/lib/job/run.go
+++ b/lib/job/run.go
@@ -130,6 +130,9 @@
 // ended takes in the end of a run.
 func (d *Desk) ended(l *link, end *wire.RunEnd, now time.Duration) {
 	r := l.runs[runKey{end.GetRun().GetTask(), end.GetRun().GetAttempt()}]
+	if end.GetEpoch() > 0 {
+		r = d.keeper.takeEnd(l, end, r)
+	}
 	if r == nil {
 		return
 	}
@@ -161,7 +164,8 @@
 	d.noteConduct(r.link, before)
 	w.endedAt = now
 	d.metrics.ran.RecordDuration(now - r.sentAt)
-	if !w.answered {
+	if !w.answered && !r.task.done {
+		r.task.done = true
 		w.completed(r.task.step)
 	}
 	if w.tasksLeft == 0 {
@@ -197,6 +201,9 @@
 	}
 	d.metrics.retry(cause)
 	d.noteAgain(r, cause, reason, now)
+	if r.task.done {
+		return
+	}
 	w.pending = append(w.pending, r.task)
 	d.enqueue(w)
 }
@@ -207,6 +214,10 @@
 	orphans := l.orphans
 	l.orphans = nil
 	for _, r := range orphans {
+		if l.taker.has(r.work) {
+			l.orphans = append(l.orphans, r)
+			continue
+		}
 		r.ranAtAll(true)
 		d.again(r, reasonRestarted, "", now)
 	}
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -63,6 +63,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, answeredAt: d.clock.Now() - silentAfter - 1, lost: true}
 	l.halter.l = l
+	l.taker.l = l
 	l.dial(member)
 	d.links[id] = l
 	d.note(event.AgentListed, slog.String("agent", id), slog.String("address", member.GetAddress()))
@@ -99,7 +100,9 @@
 		return
 	}
 	for _, w := range d.jobs {
-		d.finish(w, d.stopped(w, reasonGap))
+		if w.kept == nil {
+			d.finish(w, d.stopped(w, reasonGap))
+		}
 	}
 }
 
@@ -152,6 +155,7 @@
 	}
 	w.stretch(now)
 	switch {
+	case w.kept != nil:
 	case now >= w.deadlineAt:
 		d.finish(w, d.stopped(w, reasonDeadline))
 	case now >= w.lastAt():
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -48,7 +48,8 @@
 	q := &wire.WatchRequest{
 		Entry:            d.self,
 		Agent:            l.agent,
-		EndsSeen:         l.endsSeen,
+		EndsSeen:         l.endsStored(),
+		EndsTold:         l.endsSeen,
 		VersionSeen:      l.word.GetVersion(),
 		WaitMillis:       watchWait.Milliseconds(),
 		RenewUntilMillis: l.renewUntil(now),
@@ -123,6 +124,8 @@
 	l.agent = agent
 	l.word = nil
 	l.endsSeen = 0
+	l.unstored = nil
+	d.keeper.agentRestarted(l)
 	return true
 }
 
--- a/lib/job/work.go
+++ b/lib/job/work.go
@@ -48,6 +48,9 @@
 	startedAt time.Duration
 	endedAt   time.Duration
 
+	// kept is nil for a best-effort job.
+	kept *keptWork
+
 	answered bool
 	outcome  Outcome
 	// done is closed with the answer, settled once no run is left as well.
@@ -76,6 +79,7 @@
 	name    string
 	attempt uint32
 	failed  uint32
+	done    bool
 	hangs   uint32
 	run     *run
 	// avoid lists worker lives at which it failed or was refused.
--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -21,6 +21,9 @@
 	Grace time.Duration
 	// Patience is how long a silent worker's lease is still extended.
 	Patience time.Duration
+	// KeepsEnds is set where jobs may be kept: ends of unknown runs are then
+	// taken note of only after their owner could ask for them.
+	KeepsEnds bool
 	// Clock measures sessions, clock.Boot by default.
 	Clock clock.Clock
 }
--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -84,6 +84,7 @@
 			delete(k.sessions, key)
 		}
 	}
+	k.forgetEpochs(now)
 	if k.life != nil {
 		k.life.forgetNumbers(k.steady() - numberMemory)
 	}
--- a/lib/lease/halt.go
+++ b/lib/lease/halt.go
@@ -98,7 +98,7 @@
 		l.noteNumber(task, r.number, now)
 	}
 	k.lastEnd++
-	r.session.addEnd(k.lastEnd, r.key, how, reason, ran)
+	r.session.addEnd(k.lastEnd, r.key, how, reason, ran).Epoch = r.epoch
 	k.metrics.ends.Inc(cmp.Or(reason, "done"))
 	k.tellRun(event.RunFinished, r, slog.String("how", how.Word()), reasonAttr(reason), millisAttr("runMillis", ran))
 	if l.waiting[task] == r {
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -18,6 +18,9 @@
 	for p.l.ctx.Err() == nil {
 		if p.k.hold(p.l, wait) {
 			wait, pause = holdWait, holdPause
+			if unstored := p.k.storePause(p.l); unstored > 0 {
+				p.sleep(unstored)
+			}
 			continue
 		}
 		p.sleep(pause)
@@ -99,7 +102,7 @@
 	return Hold{
 		DeadlineMillis: k.extend(l),
 		Fence:          k.fence.number,
-		Cursor:         l.cursor,
+		Cursor:         k.acknowledgeable(l),
 		WaitMillis:     wait.Milliseconds(),
 		Life:           l.said.ID,
 	}, l.sent, l.worker, true
--- a/lib/lease/keeper.go
+++ b/lib/lease/keeper.go
@@ -39,7 +39,9 @@
 	ticks   uint64
 	// lastEnd numbers the ends that are told, of all sessions.
 	lastEnd uint64
-	board   board
+	// epochs of jobs that entries have taken over.
+	epochs map[string]jobEpoch
+	board  board
 }
 
 // New returns a keeper without a worker. dial makes the client of an announced
@@ -55,6 +57,7 @@
 		stops:    make(chan struct{}, stopsAtOnce),
 		fence:    newFence(time.Now()),
 		sessions: map[sessionKey]*session{},
+		epochs:   map[string]jobEpoch{},
 		board:    newBoard(),
 	}
 	k.changed()
--- a/lib/lease/launch.go
+++ b/lib/lease/launch.go
@@ -71,7 +71,7 @@
 		return &wire.LaunchResult{Accepted: rec.accepted, Reason: rec.reason}
 	}
 	if reason == "" {
-		reason = k.refusingOne(s, t)
+		reason = k.refusingOne(s, q, t)
 	}
 	if reason != "" {
 		k.refuse(s, q, key, reason)
@@ -84,6 +84,7 @@
 		life:       k.life,
 		need:       capacity.Of(t.GetNeed()),
 		spec:       string(q.GetSpec()),
+		epoch:      q.GetEpoch(),
 		acceptedAt: k.steady(),
 	})
 	return &wire.LaunchResult{Accepted: true}
@@ -113,7 +114,7 @@
 
 // refusingOne is the reason for which one task is refused, empty if there is
 // none.
-func (k *Keeper) refusingOne(s *session, t *wire.LaunchTask) string {
+func (k *Keeper) refusingOne(s *session, q *wire.LaunchRequest, t *wire.LaunchTask) string {
 	key := keyOf(t.GetRun())
 	need := capacity.Of(t.GetNeed())
 	l := k.life
@@ -122,6 +123,10 @@
 		return "invalid"
 	case newer(l.active[key.task], s, key) || newer(l.waiting[key.task], s, key):
 		return "old"
+	case q.GetEpoch() > 0 && q.GetEpoch() < k.epochs[jobOf(key.task)].number:
+		return "formerOwner"
+	case q.GetEpoch() > 0 && len(l.unstored) > maxUnstored:
+		return "endsUnstored"
 	case !need.Fits(l.free()):
 		return "noRoom"
 	}
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -37,11 +37,13 @@
 	// sent and taken number the holds.
 	sent, taken uint64
 	// cursor is the newest end that was taken in.
-	cursor  uint64
-	active  map[string]*run
-	waiting map[string]*run
-	numbers map[string]number
-	strays  map[Running]*stray
+	cursor uint64
+	// unstored are the ends that must not be acknowledged yet.
+	unstored []*unstored
+	active   map[string]*run
+	waiting  map[string]*run
+	numbers  map[string]number
+	strays   map[Running]*stray
 	// kick asks for a hold at once.
 	kick    chan struct{}
 	retired bool
--- a/lib/lease/metrics.go
+++ b/lib/lease/metrics.go
@@ -19,6 +19,8 @@
 	retries *metric.Counters
 	// ends of runs, by the reason for which they aren't done.
 	ends *metric.Counters
+	// unstored ends of kept runs that were acknowledged all the same.
+	unstored tally.Counter
 	// announcements that change nothing.
 	announcements *metric.Counters
 
@@ -36,6 +38,7 @@
 		stops:         metric.Reasons(scope, "stops"),
 		retries:       metric.Reasons(scope, "retries"),
 		ends:          metric.Reasons(scope, "ends"),
+		unstored:      scope.Counter("ends_given_up"),
 		announcements: metric.Reasons(scope, "announcements"),
 		running:       scope.Gauge("running"),
 		free: [3]tally.Gauge{
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -29,6 +29,7 @@
 	r := l.active[e.Task]
 	if r == nil || r.number != e.Run || r.phase == accepted {
 		k.metrics.ends.Inc("unknown")
+		k.holdUnknown(l, e)
 		return
 	}
 	if r.phase == starting {
@@ -36,6 +37,7 @@
 	}
 	how, reason := k.endOf(r, e.How)
 	k.end(r, how, reason)
+	k.holdEnd(l, e, r)
 }
 
 // endOf is what a worker's word on an end means to an entry.
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -42,6 +42,8 @@
 	life    *life
 	need    capacity.Vector
 	spec    string
+	// epoch of the job's owner, 0 where the job isn't kept.
+	epoch uint64
 	// number of the run at the worker.
 	number uint32
 	// step by which the number was last raised.
--- a/lib/lease/session.go
+++ b/lib/lease/session.go
@@ -21,6 +21,8 @@
 	wake chan struct{}
 	// replaced is set once another incarnation of the entry has taken over.
 	replaced bool
+	// seenEnd is the newest end that the entry has seen.
+	seenEnd uint64
 }
 
 // sessionKey names an incarnation of an entry.
@@ -52,23 +54,26 @@
 }
 
 // addEnd keeps an end until the entry has seen it.
-func (s *session) addEnd(number uint64, key runKey, how wire.RunHow, reason string, ran time.Duration) {
-	s.ends = append(s.ends, &wire.RunEnd{
+func (s *session) addEnd(number uint64, key runKey, how wire.RunHow, reason string, ran time.Duration) *wire.RunEnd {
+	end := &wire.RunEnd{
 		Number:    number,
 		Run:       key.wire(),
 		How:       how,
 		Reason:    reason,
 		RunMillis: ran.Milliseconds(),
-	})
+	}
+	s.ends = append(s.ends, end)
 	if rec := s.records[key]; rec != nil {
 		rec.end = number
 	}
 	close(s.wake)
 	s.wake = make(chan struct{})
+	return end
 }
 
 // seen forgets the ends up to number.
 func (s *session) seen(number uint64, now time.Duration) {
+	s.seenEnd = max(s.seenEnd, number)
 	n := 0
 	for n < len(s.ends) && s.ends[n].GetNumber() <= number {
 		if rec := s.records[keyOf(s.ends[n].GetRun())]; rec != nil {
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -31,7 +32,7 @@
 		case <-ends:
 		case <-board:
 		case <-timer.C:
-			return k.reply(s), nil
+			return k.reply(s, q), nil
 		case <-ctx.Done():
 			return nil, twirp.NewError(twirp.Canceled, "watch broken off")
 		}
@@ -43,24 +44,35 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	fresh := k.board.state.GetVersion() != q.GetVersionSeen() && !k.board.pending
-	if fresh || len(s.ends) > 0 || !wire.Same(q.GetAgent(), k.cfg.Agent) {
-		return k.replyLocked(s), nil, nil
+	if fresh || len(k.untold(s, q)) > 0 || !wire.Same(q.GetAgent(), k.cfg.Agent) {
+		return k.replyLocked(s, q), nil, nil
 	}
 	return nil, s.wake, k.board.wake
 }
 
-func (k *Keeper) reply(s *session) *wire.WatchReply {
+func (k *Keeper) reply(s *session, q *wire.WatchRequest) *wire.WatchReply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.replyLocked(s)
+	return k.replyLocked(s, q)
 }
 
-func (k *Keeper) replyLocked(s *session) *wire.WatchReply {
+// untold lists the ends that the entry has not been told.
+func (k *Keeper) untold(s *session, q *wire.WatchRequest) []*wire.RunEnd {
+	if !wire.Same(q.GetAgent(), k.cfg.Agent) {
+		return s.ends
+	}
+	n, _ := slices.BinarySearchFunc(s.ends, q.GetEndsTold()+1, func(end *wire.RunEnd, number uint64) int {
+		return cmp.Compare(end.GetNumber(), number)
+	})
+	return s.ends[n:]
+}
+
+func (k *Keeper) replyLocked(s *session, q *wire.WatchRequest) *wire.WatchReply {
 	return &wire.WatchReply{
 		Agent:              k.cfg.Agent,
 		ClockMillis:        k.nowMillis(),
 		SessionUntilMillis: s.until.Milliseconds(),
 		Worker:             k.board.state,
-		Ends:               slices.Clone(s.ends),
+		Ends:               slices.Clone(k.untold(s, q)),
 	}
 }
--- a/lib/wire/word.go
+++ b/lib/wire/word.go
@@ -14,3 +14,8 @@
 		return strings.ToLower(strings.TrimPrefix(h.String(), howPrefix))
 	}
 }
+
+// Word returns the state of a job in camelCase.
+func (s JobState) Word() string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "JOB_STATE_"))
+}
