--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -49,6 +49,9 @@
 		"All agents were asked, or their runs are surely over.", job, tasksLeft, Field{"unasked", "agents that could not be asked"}, waited)
 	JobLost = ofEntry.warning(Change, "jobLost", "A kept job is not this entry's any more.",
 		"The store says so, or the entry's own lease is over; its runs are being stopped.", job, reason, epoch, running)
+	JobsSuspended = ofEntry.warning(Change, "jobsSuspended", "Kept jobs are suspended, or go on.",
+		"The entry's lease is over: runs of kept jobs are stopped and none started until it is back.",
+		Field{"suspended", "whether they are"}, Field{"inFlight", "jobs in hand"})
 	KeptJobEnded = ofEntry.success("keptJobEnded", "A kept job has ended.",
 		"Its last state is stored; callers that ask are told so.", job, service, Field{"state", "completed, failed or cancelled"}, epoch, ended)
 	StoreUnanswered = ofEntry.warning(Failure, "storeUnanswered", "The job store gave no answer.",
--- a/lib/event/field.go
+++ b/lib/event/field.go
@@ -50,7 +50,6 @@
 	started     = Field{"startedMillis", "from receipt to the first start, 0 where none is known"}
 	ended       = Field{"endedMillis", "from receipt to the last end"}
 	answered    = Field{"answeredMillis", "from receipt to the answer"}
-	epoch       = Field{"epoch", "how many owners the job has had, 0 where another entry has it"}
 	tasksLeft   = Field{"tasksLeft", "tasks that are not done"}
 	retryAfter  = Field{"retryAfterMillis", "when the caller may come back"}
 	roomy       = Field{"workersWithRoom", "workers that had room for the task by the entry's knowledge"}
--- a/lib/job/kept_fake_test.go
+++ b/lib/job/kept_fake_test.go
@@ -223,10 +223,10 @@
 	return !m.ended
 }
 
-func (m *fakeMember) end() {
+func (m *fakeMember) end(ended bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ended = true
+	m.ended = ended
 }
 
 func (m *fakeMember) Kind(string, string) *wire.Kind { return testKind }
--- a/lib/job/kept_keeper.go
+++ b/lib/job/kept_keeper.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"skylarklane.example/lib/event"
+	"skylarklane.example/lib/store"
 	"skylarklane.example/lib/wire"
 )
 
@@ -40,6 +41,8 @@
 	member Membership
 	// owner under which the jobs in hand are run.
 	owner *wire.Incarnation
+	// suspended is set while the entry's lease is over.
+	suspended bool
 	// ended jobs and when they ended.
 	ended map[string]time.Duration
 	// notes lists the jobs of which something is to be stored.
@@ -53,8 +56,8 @@
 
 // NewKeeper makes the desk take kept jobs, which Run then runs. It is called
 // before the desk runs.
-func NewKeeper(d *Desk, store wire.JobStore, member Membership) *Keeper {
-	k := &Keeper{d: d, store: store, member: member, owner: member.Owner(), ended: map[string]time.Duration{}, urgent: make(chan struct{}, 1), last: make(chan struct{}, 1)}
+func NewKeeper(d *Desk, jobs wire.JobStore, member Membership) *Keeper {
+	k := &Keeper{d: d, store: jobs, member: member, owner: member.Owner(), ended: map[string]time.Duration{}, urgent: make(chan struct{}, 1), last: make(chan struct{}, 1)}
 	d.keeper = k
 	return k
 }
@@ -71,7 +74,7 @@
 	loops.Wait()
 }
 
-// loop gives all jobs up when the entry's lease is over.
+// loop looks at the entry's lease.
 func (k *Keeper) loop(ctx context.Context) {
 	tick := time.NewTicker(leaseInterval)
 	defer tick.Stop()
@@ -91,12 +94,13 @@
 	k.d.mu.Lock()
 	defer k.d.mu.Unlock()
 	now := k.d.clock.Now()
-	if !current || !wire.Same(owner, k.owner) {
+	if !wire.Same(owner, k.owner) {
 		for _, w := range k.d.jobs {
-			k.lose(w, reasonNoLease)
+			k.lose(w, reasonNotOwner)
 		}
 		k.owner = owner
 	}
+	k.suspend(!current, now)
 	for id, at := range k.ended {
 		if now-at > endedMemory {
 			delete(k.ended, id)
@@ -109,6 +113,28 @@
 	}
 }
 
+// suspend stops all runs while the entry's lease is over, as another entry may
+// take the jobs over. They stay in hand: the lease may come back.
+func (k *Keeper) suspend(over bool, now time.Duration) {
+	if over != k.suspended {
+		k.suspended = over
+		k.d.note(event.JobsSuspended, slog.Bool("suspended", over), slog.Int("inFlight", len(k.d.jobs)))
+	}
+	if !over {
+		return
+	}
+	for _, w := range k.d.jobs {
+		if !w.kept.isOpen() {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.run != nil {
+				k.d.halt(t.run, reasonNoLease, now)
+			}
+		}
+	}
+}
+
 // Keep stores a job and has it run. A job whose outcome is unclear may be
 // stored or not; sending it again is safe.
 func (k *Keeper) Keep(ctx context.Context, j Job) KeepOutcome {
@@ -122,6 +148,9 @@
 	q := &wire.KeepRequest{Owner: k.member.Owner(), Job: stored(j)}
 	reply, err := k.store.Keep(ctx, q)
 	switch {
+	case store.IsNotDone(err):
+		k.noteNotKept(j, reasonNotStored, err)
+		return KeepOutcome{State: NotKept, Reason: reasonNotStored}
 	case err != nil:
 		k.noteNotKept(j, reasonUnclear, err)
 		return KeepOutcome{State: Unclear, Reason: reasonUnclear}
--- a/lib/job/kept_outcome.go
+++ b/lib/job/kept_outcome.go
@@ -24,6 +24,8 @@
 const (
 	// reasonUnclear is why a job may be stored or not.
 	reasonUnclear = "storeUnclear"
+	// reasonNotStored is why one surely is not.
+	reasonNotStored = "notStored"
 	// ReasonOtherContent is why a job is refused whose id another one has.
 	ReasonOtherContent = "otherContent"
 )
--- a/lib/job/kept_take.go
+++ b/lib/job/kept_take.go
@@ -16,7 +16,7 @@
 	takePause = 25 * time.Millisecond
 	// takePatience is how long an agent is asked that does not answer. Runs of
 	// former owners there are over by then.
-	takePatience = 3 * time.Second
+	takePatience = 10 * time.Second
 	// maxTaken bounds the jobs in one call.
 	maxTaken = 256
 )
@@ -62,6 +62,10 @@
 	}
 }
 
+// mayTellOf tells whether the end of a kept run may still be told though the run
+// is over: a task whose run was done must not run again.
+func (l *link) mayTellOf(r *run) bool { return r.work.kept.isOpen() && !l.gone }
+
 func (l *link) hasOrphanOf(w *work) bool {
 	return slices.ContainsFunc(l.orphans, func(r *run) bool { return r.work == w })
 }
--- a/lib/job/kept_test.go
+++ b/lib/job/kept_test.go
@@ -164,22 +164,29 @@
 	}
 }
 
-// TestKeptLeaseOver has an entry stop its runs when its own lease is over.
+// TestKeptLeaseOver has an entry stop its runs while its own lease is over.
 func TestKeptLeaseOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		a := newFake("a", 4000, takes(time.Hour))
+		a := newFake("a", 4000, func(_ string, attempt uint32) (time.Duration, wire.RunHow) {
+			return time.Hour >> (20 * (attempt - 1)), wire.RunHow_RUN_HOW_DONE
+		})
 		s := newStore()
 		k, member, _ := startKeeper(t, "e1", s, a)
 		is.Equal(k.Keep(t.Context(), newJob("j1", 2)).State, IsKept)
 		time.Sleep(time.Second)
 		is.Equal(a.live(), 2)
-		member.end()
+		member.end(true)
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(a.live(), 0)
-		is.Equal(len(k.d.jobs), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(a.started(), 2) // nothing is started meanwhile
 		is.Equal(k.Keep(t.Context(), newJob("j2", 2)).State, NotKept)
 		is.Equal(s.state("j1"), running)
+		member.end(false)
+		time.Sleep(2 * time.Second)
+		is.Equal(s.state("j1"), completed)
+		is.Equal(a.started(), 4)
 	})
 }
 
--- a/lib/job/kept_work.go
+++ b/lib/job/kept_work.go
@@ -43,7 +43,9 @@
 }
 
 // mayStart tells whether tasks of the job may be started.
-func (k *keptWork) mayStart() bool { return k == nil || len(k.asking) == 0 && !k.closed }
+func (k *keptWork) mayStart(of *Keeper) bool {
+	return k == nil || len(k.asking) == 0 && !k.closed && !of.suspended
+}
 
 // ownerEpoch is the epoch that launches carry.
 func (k *keptWork) ownerEpoch() uint64 {
--- a/lib/job/place.go
+++ b/lib/job/place.go
@@ -39,7 +39,7 @@
 	d.sortQueue(now)
 	p := &pass{d: d, now: now, fields: map[string]*field{}}
 	d.queue = slices.DeleteFunc(d.queue, func(w *work) bool {
-		if !w.kept.mayStart() {
+		if !w.kept.mayStart(d.keeper) {
 			return false
 		}
 		p.serve(w)
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"skylarklane.example/lib/event"
@@ -126,10 +127,18 @@
 
 // loseRuns takes all runs of a silent agent as ended.
 func (d *Desk) loseRuns(l *link, now time.Duration) {
-	runs := l.orphans
-	l.orphans = nil
-	for _, r := range l.runs {
+	var runs []*run
+	l.orphans = slices.DeleteFunc(l.orphans, func(r *run) bool {
+		if l.mayTellOf(r) {
+			return false
+		}
 		runs = append(runs, r)
+		return true
+	})
+	for _, r := range l.runs {
+		if !l.mayTellOf(r) {
+			runs = append(runs, r)
+		}
 	}
 	for _, r := range runs {
 		r.ranAtAll(true)
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -174,7 +174,7 @@
 // renew asks the leader, or the control hosts in turn until one knows it.
 func (f *Follower) renew(ctx context.Context) {
 	silent := map[string]bool{}
-	for range 2*len(f.addresses()) + 2 {
+	for range 2*len(f.ControlHosts()) + 2 {
 		if ctx.Err() != nil {
 			return
 		}
--- a/lib/membership/hosts.go
+++ b/lib/membership/hosts.go
@@ -67,8 +67,9 @@
 	f.mu.Lock()
 }
 
-// addresses lists whom to ask.
-func (f *Follower) addresses() []string {
+// ControlHosts lists the control hosts to ask: those that the group has named, and
+// the seeds.
+func (f *Follower) ControlHosts() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.allAddresses()
--- a/lib/membership/report.go
+++ b/lib/membership/report.go
@@ -12,7 +12,7 @@
 // one hint at the leader, and asks the hosts in turn otherwise.
 func (f *Follower) Report(ctx context.Context, q *wire.ReportRequest) error {
 	err := eris.New("there is no control host")
-	for _, address := range f.addresses() {
+	for _, address := range f.ControlHosts() {
 		var leader string
 		if leader, err = f.reportTo(ctx, address, q); err == nil && leader != "" {
 			leader, err = f.reportTo(ctx, leader, q)
