--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -21,9 +21,10 @@
 	Grace time.Duration
 	// Patience is how long a silent worker's lease is still extended.
 	Patience time.Duration
-	// KeepsEnds is set where jobs may be kept: ends of unknown runs are then
-	// taken note of only after their owner could ask for them.
-	KeepsEnds bool
+	// KeepsEnds tells whether a store has kept jobs. While it does, ends that an
+	// earlier incarnation of the agent has left are acknowledged only once the
+	// worker's lease has lapsed. Nil is never.
+	KeepsEnds func() bool
 	// Clock measures sessions, clock.Boot by default.
 	Clock clock.Clock
 }
--- a/lib/lease/kept.go
+++ b/lib/lease/kept.go
@@ -71,12 +71,16 @@
 }
 
 // holdUnknown does the same for a run that an earlier incarnation of this agent
-// may have started for a kept job.
+// may have started for a kept job. Its owner can ask for the end until the lease
+// has lapsed; after that the end doesn't count, and the task may run again.
 func (k *Keeper) holdUnknown(l *life, e Ended) {
 	how, _ := k.endOf(&run{}, e.How)
-	if !k.cfg.KeepsEnds || !matters(how) {
+	if l.cleared || !matters(how) || k.cfg.KeepsEnds == nil || !k.cfg.KeepsEnds() {
 		return
 	}
+	if l.lapsedAt == 0 {
+		l.lapsedAt = k.steady() + scaled(k.cfg.LeaseMax)
+	}
 	l.unstored = append(l.unstored, &unstored{
 		number: e.Number, key: runKey{e.Task, e.Run}, how: how, at: k.cfg.Clock.Now(),
 	})
@@ -85,7 +89,7 @@
 // acknowledgeable is the newest end such that it and all before it may be
 // forgotten by the worker.
 func (k *Keeper) acknowledgeable(l *life) uint64 {
-	l.unstored = slices.DeleteFunc(l.unstored, k.isSettled)
+	l.unstored = slices.DeleteFunc(l.unstored, func(u *unstored) bool { return k.isSettled(l, u) })
 	if len(l.unstored) == 0 {
 		return l.cursor
 	}
@@ -93,18 +97,13 @@
 }
 
 // isSettled tells whether an end is stored or given up.
-func (k *Keeper) isSettled(u *unstored) bool {
-	if u.session != nil && u.session.seenEnd >= u.end {
+func (k *Keeper) isSettled(l *life, u *unstored) bool {
+	switch {
+	case u.session == nil:
+		return k.steady() >= l.lapsedAt || !k.cfg.KeepsEnds()
+	case u.session.seenEnd >= u.end:
 		return true
-	}
-	since := u.at
-	if u.session != nil {
-		if u.session.alive {
-			return false
-		}
-		since = max(since, u.session.until)
-	}
-	if k.cfg.Clock.Now() < since+storePatience {
+	case u.session.alive || k.cfg.Clock.Now() < max(u.at, u.session.until)+storePatience:
 		return false
 	}
 	k.metrics.unstored.Inc(1)
@@ -113,6 +112,12 @@
 	return true
 }
 
+// awaitsLapse tells whether the lease must not be extended yet, as ends are held
+// back that nobody has asked for.
+func (k *Keeper) awaitsLapse(l *life) bool {
+	return slices.ContainsFunc(l.unstored, func(u *unstored) bool { return u.session == nil && !k.isSettled(l, u) })
+}
+
 // storePause is how long to wait before the next hold.
 func (k *Keeper) storePause(l *life) time.Duration {
 	k.mu.Lock()
--- a/lib/lease/kept_test.go
+++ b/lib/lease/kept_test.go
@@ -106,8 +106,7 @@
 // the agent has started.
 func TestUnknownEndIsToldToTheOwner(t *testing.T) {
 	onDesk(t, func(d *desk) {
-		d.k.cfg.KeepsEnds = true
-		d.w.finish("job.0.0.0", 3, Done)
+		d.restarted(true, "job.0.0.0")
 		d.sleep(200)
 		d.Equal(d.w.cursor, uint64(0))
 		last := d.take(entryOne, "job", 1)
@@ -117,3 +116,39 @@
 		d.Equal(d.w.cursor, uint64(1))
 	})
 }
+
+// restarted makes the keeper one that has just started, beside a worker that
+// lists the end of a run of before.
+func (d *desk) restarted(keeps bool, task string) {
+	w := newFakeWorker("w2", 2000)
+	w.finish(task, 3, Done)
+	d.k.mu.Lock()
+	d.k.cfg.KeepsEnds = func() bool { return keeps }
+	d.k.mu.Unlock()
+	d.w = w
+	d.announce(w)
+}
+
+func TestUnknownEnds(t *testing.T) {
+	tests := []struct {
+		name  string
+		keeps bool
+	}{
+		{name: "no kept jobs"},
+		{name: "kept jobs", keeps: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			onDesk(t, func(d *desk) {
+				d.restarted(test.keeps, "job.0.0.0")
+				d.sleep(60)
+				d.Equal(d.w.cursor == 0, test.keeps) // else acknowledged at once
+				d.Equal(d.watch(entryOne, 0).GetWorker().GetAccepting(), !test.keeps)
+				d.sleep(1200)
+				d.Equal(d.w.cursor, uint64(1)) // once the former lease has lapsed
+				d.sleep(100)
+				d.True(d.watch(entryOne, 0).GetWorker().GetAccepting())
+			})
+		})
+	}
+}
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -40,6 +40,9 @@
 	cursor uint64
 	// unstored are the ends that must not be acknowledged yet.
 	unstored []*unstored
+	// lapsedAt is when the lease that an earlier incarnation of the agent gave has
+	// surely lapsed, 0 before the first hold was answered.
+	lapsedAt time.Duration
 	active   map[string]*run
 	waiting  map[string]*run
 	numbers  map[string]number
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -76,7 +76,7 @@
 			delete(l.strays, at)
 		}
 	}
-	if len(l.strays) == 0 && !l.cleared {
+	if len(l.strays) == 0 && !l.cleared && !k.awaitsLapse(l) {
 		l.cleared = true
 		k.tellLife(event.Cleared, l, millisAttr("tookMillis", k.steady()))
 	}
