--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -77,15 +77,7 @@
 func (d *Desk) take(j Job) *work {
 	now := d.clock.Now()
 	w := newWork(j, d.kindOf(j), now, d.attempts[j.ID].attempt)
-	d.sequence++
-	w.sequence = d.sequence
-	w.count(d.capacityOf(j.Service))
-	w.best = d.bestFactor(j.Service, now)
-	w.ideal = w.remaining()
-	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
-	d.jobs[j.ID] = w
-	d.noteReceived(w)
-	d.noteSeen(now)
+	d.reckon(w, now)
 	if d.neverFits(w) {
 		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
 		return w
@@ -98,6 +90,21 @@
 	return w
 }
 
+// reckon puts a new job in hand, with its place and what it is expected to take.
+func (d *Desk) reckon(w *work, now time.Duration) {
+	d.sequence++
+	w.sequence = d.sequence
+	w.count(d.capacityOf(w.Service))
+	factors := d.factorsOf(w.Service, now)
+	w.best = placement.Best(factors)
+	w.least = w.remaining()
+	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * placement.Usual(factors))
+	w.objective = placement.ObjectiveOf(w.ideal, w.Kind.GetStretch(), time.Duration(w.Kind.GetSlackMillis())*time.Millisecond)
+	d.jobs[w.ID] = w
+	d.noteReceived(w)
+	d.noteSeen(now)
+}
+
 // mayWait gives up a new job that found no room and will hardly get any.
 func (d *Desk) mayWait(w *work, now time.Duration) {
 	if d.queuedBestEffort() > d.cfg.MaxQueued {
@@ -125,18 +132,13 @@
 	return Outcome{State: NotRun, Reason: reason, RetryAfter: retryAfter}
 }
 
-// bestFactor is the speed of the service's best worker.
-func (d *Desk) bestFactor(service string, now time.Duration) float64 {
-	best := 0.0
+// factorsOf are the speeds of a service's workers.
+func (d *Desk) factorsOf(service string, now time.Duration) []float64 {
+	var factors []float64
 	for _, l := range d.serving(service) {
-		if f := l.speed.value(now); best == 0 || f < best {
-			best = f
-		}
-	}
-	if best == 0 {
-		return 1
+		factors = append(factors, l.speed.value(now))
 	}
-	return best
+	return factors
 }
 
 // neverFits tells whether a step needs more than any worker of the service has
--- a/lib/job/kept_keeper.go
+++ b/lib/job/kept_keeper.go
@@ -199,15 +199,7 @@
 	d := k.d
 	w := newWork(j, d.kindOf(j), d.clock.Now(), uint32((epoch-1)<<attemptsPerOwner))
 	w.kept = newKept(epoch, state)
-	d.sequence++
-	w.sequence = d.sequence
-	w.count(d.capacityOf(j.Service))
-	w.best = d.bestFactor(j.Service, d.clock.Now())
-	w.ideal = w.remaining()
-	w.stretch(d.clock.Now())
-	d.jobs[j.ID] = w
-	d.noteReceived(w)
-	d.noteSeen(d.clock.Now())
+	d.reckon(w, d.clock.Now())
 	return w
 }
 
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -41,7 +41,9 @@
 	session *session
 	life    *life
 	need    capacity.Vector
-	spec    string
+	// expected run time at a worker of factor 1, 0 if unknown.
+	expected time.Duration
+	spec     string
 	// epoch of the job's owner, 0 where the job isn't kept.
 	epoch uint64
 	// number of the run at the worker.
