Kept jobs: a test reads the worker's cursor under its lock

Cause: go test -race ./lib/lease found TestEndIsGivenUpWithoutAnOwner reading the fake worker without its lock. Figures: -race of lib/job, lib/lease, platform pass after it.

--- a/lib/lease/kept_test.go
+++ b/lib/lease/kept_test.go
@@ -40,7 +40,7 @@
 func (d *desk) holds(entry *wire.Incarnation, cursor uint64) {
 	d.Helper()
 	d.live(entry, 200)
-	d.Equal(d.w.cursor, cursor)
+	d.Equal(d.acknowledged(), cursor)
 }
 
 func TestEndIsHeldBackUntilItIsStored(t *testing.T) {
@@ -56,7 +56,7 @@
 		_, err := d.k.Settle(context.Background(), &wire.SettleRequest{Entry: entryOne, Agent: agentOne, EndsSeen: 1})
 		d.NoErr(err)
 		d.sleep(60)
-		d.Equal(d.w.cursor, uint64(2))
+		d.Equal(d.acknowledged(), uint64(2))
 	})
 }
 
@@ -67,9 +67,9 @@
 		d.sleep(10)
 		d.w.finish("job.0.0.0", 1, Failed)
 		d.sleep(10000)
-		d.Equal(d.w.cursor, uint64(0))
+		d.Equal(d.acknowledged(), uint64(0))
 		d.sleep(10000)
-		d.Equal(d.w.cursor, uint64(1))
+		d.Equal(d.acknowledged(), uint64(1))
 	})
 }
 
@@ -91,7 +91,7 @@
 		d.Equal(d.take(entryTwo, "job", 2), last)
 		d.watch(entryTwo, last)
 		d.live(entryTwo, 100)
-		d.Equal(d.w.cursor, uint64(2))
+		d.Equal(d.acknowledged(), uint64(2))
 
 		d.watch(entryOne, 0)
 		q := d.order(entryOne, 2, "job.0.0.1")
@@ -108,12 +108,12 @@
 	onDesk(t, func(d *desk) {
 		d.restarted(true, "job.0.0.0")
 		d.sleep(200)
-		d.Equal(d.w.cursor, uint64(0))
+		d.Equal(d.acknowledged(), uint64(0))
 		last := d.take(entryOne, "job", 1)
 		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"job.0.0.0", 3}: "DONE "})
 		d.watch(entryOne, last)
 		d.live(entryOne, 100)
-		d.Equal(d.w.cursor, uint64(1))
+		d.Equal(d.acknowledged(), uint64(1))
 	})
 }
 
@@ -142,13 +142,20 @@
 			onDesk(t, func(d *desk) {
 				d.restarted(test.keeps, "job.0.0.0")
 				d.sleep(60)
-				d.Equal(d.w.cursor == 0, test.keeps) // else acknowledged at once
+				d.Equal(d.acknowledged() == 0, test.keeps) // else acknowledged at once
 				d.Equal(d.watch(entryOne, 0).GetWorker().GetAccepting(), !test.keeps)
 				d.sleep(1200)
-				d.Equal(d.w.cursor, uint64(1)) // once the former lease has lapsed
+				d.Equal(d.acknowledged(), uint64(1)) // once the former lease has lapsed
 				d.sleep(100)
 				d.True(d.watch(entryOne, 0).GetWorker().GetAccepting())
 			})
 		})
 	}
 }
+
+// acknowledged is the newest end that the worker may forget.
+func (d *desk) acknowledged() uint64 {
+	d.w.mu.Lock()
+	defer d.w.mu.Unlock()
+	return d.w.cursor
+}
