--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -57,6 +57,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if earlier := d.jobs[j.ID]; earlier != nil {
+		if earlier.kept != nil {
+			return nil, nil, d.refuse(j, reasonKept)
+		}
 		d.finish(earlier, d.stopped(earlier, reasonSentAgain))
 		return nil, earlier, Outcome{}
 	}
@@ -74,17 +77,7 @@
 func (d *Desk) take(j Job) *work {
 	now := d.clock.Now()
 	w := newWork(j, d.kindOf(j), now, d.attempts[j.ID].attempt)
-	d.sequence++
-	w.sequence = d.sequence
-	w.count(d.capacityOf(j.Service))
-	factors := d.factorsOf(j.Service, now)
-	w.best = placement.Best(factors)
-	w.least = w.remaining()
-	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * placement.Usual(factors))
-	w.objective = placement.ObjectiveOf(w.ideal, j.Kind.GetStretch(), time.Duration(j.Kind.GetSlackMillis())*time.Millisecond)
-	d.jobs[j.ID] = w
-	d.noteReceived(w)
-	d.noteSeen(now)
+	d.reckon(w, now)
 	if d.neverFits(w) {
 		d.finish(w, Outcome{State: Failed, Reason: reasonNeverFits})
 		return w
@@ -97,9 +90,24 @@
 	return w
 }
 
+// reckon puts a new job in hand, with its place and what it is expected to take.
+func (d *Desk) reckon(w *work, now time.Duration) {
+	d.sequence++
+	w.sequence = d.sequence
+	w.count(d.capacityOf(w.Service))
+	factors := d.factorsOf(w.Service, now)
+	w.best = placement.Best(factors)
+	w.least = w.remaining()
+	w.ideal = time.Duration(float64(w.kind.expected(w.chain())) * placement.Usual(factors))
+	w.objective = placement.ObjectiveOf(w.ideal, w.Kind.GetStretch(), time.Duration(w.Kind.GetSlackMillis())*time.Millisecond)
+	d.jobs[w.ID] = w
+	d.noteReceived(w)
+	d.noteSeen(now)
+}
+
 // mayWait gives up a new job that found no room and will hardly get any.
 func (d *Desk) mayWait(w *work, now time.Duration) {
-	if len(d.queue) > d.cfg.MaxQueued {
+	if d.queuedBestEffort() > d.cfg.MaxQueued {
 		d.giveUp(w, reasonQueueFull)
 		return
 	}
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"skylarklane.example/lib/event"
@@ -63,6 +64,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, answeredAt: d.clock.Now() - silentAfter - 1, lost: true}
 	l.halter.l = l
+	l.taker.l = l
 	l.dial(member)
 	d.links[id] = l
 	d.note(event.AgentListed, slog.String("agent", id), slog.String("address", member.GetAddress()))
@@ -99,7 +101,9 @@
 		return
 	}
 	for _, w := range d.jobs {
-		d.finish(w, d.stopped(w, reasonGap))
+		if w.kept == nil {
+			d.finish(w, d.stopped(w, reasonGap))
+		}
 	}
 }
 
@@ -123,10 +127,18 @@
 
 // loseRuns takes all runs of a silent agent as ended.
 func (d *Desk) loseRuns(l *link, now time.Duration) {
-	runs := l.orphans
-	l.orphans = nil
-	for _, r := range l.runs {
+	var runs []*run
+	l.orphans = slices.DeleteFunc(l.orphans, func(r *run) bool {
+		if l.mayTellOf(r) {
+			return false
+		}
 		runs = append(runs, r)
+		return true
+	})
+	for _, r := range l.runs {
+		if !l.mayTellOf(r) {
+			runs = append(runs, r)
+		}
 	}
 	for _, r := range runs {
 		r.ranAtAll(true)
@@ -152,6 +164,7 @@
 	}
 	w.stretch(now)
 	switch {
+	case w.kept != nil:
 	case now >= w.deadlineAt:
 		d.finish(w, d.stopped(w, reasonDeadline))
 	case now >= w.lastAt():
--- a/lib/lease/life.go
+++ b/lib/lease/life.go
@@ -38,10 +38,15 @@
 	// sent and taken number the holds.
 	sent, taken uint64
 	// cursor is the newest end that was taken in.
-	cursor  uint64
-	active  map[string]*run
-	waiting map[string]*run
-	numbers map[string]number
+	cursor uint64
+	// unstored are the ends that must not be acknowledged yet.
+	unstored []*unstored
+	// lapsedAt is when the lease that an earlier incarnation of the agent gave has
+	// surely lapsed, 0 before the first hold was answered.
+	lapsedAt time.Duration
+	active   map[string]*run
+	waiting  map[string]*run
+	numbers  map[string]number
 	// speed is its run times over those expected.
 	speed  placement.Average
 	strays map[Running]*stray
--- a/lib/lease/run.go
+++ b/lib/lease/run.go
@@ -44,6 +44,8 @@
 	// expected run time at a worker of factor 1, 0 if unknown.
 	expected time.Duration
 	spec     string
+	// epoch of the job's owner, 0 where the job isn't kept.
+	epoch uint64
 	// number of the run at the worker.
 	number uint32
 	// step by which the number was last raised.
