--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -14,8 +14,7 @@
 // for a draining worker, no more starts are sent to that worker.
 func (m *Manager) Announce(a Announcement) error {
 	if err := a.check(); err != nil {
-		m.metrics.announcements.Inc("malformed")
-		m.logEvent(event.AnnouncementRefused, slog.String("worker", a.ID), reasonAttr("malformed"), slog.String("error", err.Error()))
+		m.RejectMalformed(a.ID, err)
 		return err
 	}
 	m.mu.Lock()
@@ -38,6 +37,13 @@
 	return nil
 }
 
+// RejectMalformed counts and logs an announcement under the given id that can't
+// be used.
+func (m *Manager) RejectMalformed(id string, err error) {
+	m.metrics.announcements.Inc("malformed")
+	m.logEvent(event.AnnouncementRefused, slog.String("worker", id[:min(len(id), maxNameBytes)]), reasonAttr("malformed"), slog.String("error", err.Error()))
+}
+
 // Leave records that the worker with this id is shutting down.
 func (m *Manager) Leave(id string) {
 	m.mu.Lock()
--- /dev/null
+++ b/lib/lease/entries_test.go
@@ -0,0 +1,63 @@
+package lease
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// TestOddAnnouncementsChangeNothing guards against an announcement of another
+// writer that takes the place of the worker: the worker was lost, or what the
+// agent reported of it could not be encoded.
+func TestOddAnnouncementsChangeNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(a *Announcement)
+	}{
+		{"port 0", func(a *Announcement) { a.Address = "10.0.0.1:0" }},
+		{"port 65536", func(a *Announcement) { a.Address = "10.0.0.1:65536" }},
+		{"port 99999", func(a *Announcement) { a.Address = "10.0.0.1:99999" }},
+		{"negative port", func(a *Announcement) { a.Address = "10.0.0.1:-1" }},
+		{"no port", func(a *Announcement) { a.Address = "10.0.0.1" }},
+		{"host name", func(a *Announcement) { a.Address = "worker:80" }},
+		{"a path", func(a *Announcement) { a.Address = "10.0.0.1:80/x" }},
+		{"id of unreadable bytes", func(a *Announcement) { a.ID = "w\xff" }},
+		{"id with a line break", func(a *Announcement) { a.ID = "w\n1" }},
+		{"long id", func(a *Announcement) { a.ID = strings.Repeat("w", 1000) }},
+		{"long service", func(a *Announcement) { a.Service = strings.Repeat("s", 1000) }},
+		{"large sequence", func(a *Announcement) { a.Sequence = 1 << 60 }},
+		{"large start time", func(a *Announcement) { a.Born = 1 << 60 }},
+		{"large clock", func(a *Announcement) { a.ClockMillis = 1 << 60 }},
+		{"large capacity", func(a *Announcement) { a.CPUMillis = 1 << 62 }},
+		{"large memory", func(a *Announcement) { a.MemoryMB = 1 << 62 }},
+		{"large accelerators", func(a *Announcement) { a.Accelerators = 1 << 62 }},
+		{"many labels", func(a *Announcement) { a.Labels = make([]string, 10000) }},
+		{"long label", func(a *Announcement) { a.Labels = []string{strings.Repeat("l", 10000)} }},
+		{"label of unreadable bytes", func(a *Announcement) { a.Labels = []string{"\xff"} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withDriver(t, func(d *driver) {
+				d.watch(entryOne, 0)
+				d.mustAccept(entryOne, 1, "a")
+				odd := d.w.announcement
+				odd.Sequence++
+				odd.Born++
+				tt.set(&odd)
+				d.workers[odd.IncarnationName()] = newFakeWorker(odd.ID, odd.Born)
+				refusal := d.manager.Announce(odd)
+				reply := d.watchFor(entryOne, 500)
+				_, err := proto.Marshal(reply)
+				d.NoErr(err)
+				d.Equal(reply.GetWorker().GetId(), "w1@1000")
+				d.Equal(len(reply.GetEnds()), 0)
+				d.Equal(d.w.runningTasks(), []string{"a"})
+				d.w.announcement.Draining = true
+				d.announce(d.w)
+				d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerDraining")
+				d.True(refusal != nil)
+			})
+		})
+	}
+}
