process: log each signal taken and each reload that a signal asks for

Ruled out: a change of behaviour; every signal is caught and given back at the same points as before.

--- a/lib/agent/main.go
+++ b/lib/agent/main.go
@@ -22,12 +22,12 @@
 	return process.Daemon("agent", "Runs the agent of one worker.", args, w, serve)
 }
 
-func serve(ctx context.Context, file string, log *slog.Logger) error {
+func serve(signals *process.Signals, file string, log *slog.Logger) error {
 	cfg := &wire.AgentSettings{}
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log, process.LogReady(log))
+	return Run(signals.Context(), cfg, log, signals.LogReady(log))
 }
 
 // Run serves one worker until ctx ends or an operator drains it, and then shuts
--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -26,16 +26,16 @@
 // memory.
 const gcPercent = 50
 
-func serve(ctx context.Context, file string, log *slog.Logger) error {
+func serve(signals *process.Signals, file string, log *slog.Logger) error {
 	debug.SetGCPercent(gcPercent)
 	cfg := &wire.ControlSettings{}
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	return run(ctx, cfg, log, process.LogReady(log), &seedReloader{file: file, signals: signals})
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	return run(signals.Context(), cfg, log, signals.LogReady(log), &seedReloader{file: file, signals: signals, hangUp: hangUp})
 }
 
 // Run serves as one control host until ctx ends. It calls ready once it listens.
--- a/lib/control/seed_reloader.go
+++ b/lib/control/seed_reloader.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"skylarklane.example/lib/event"
+	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/settings"
 	"skylarklane.example/lib/wire"
 )
@@ -14,7 +15,8 @@
 // seeds. The other settings take effect only at the next start.
 type seedReloader struct {
 	file    string
-	signals <-chan os.Signal
+	signals *process.Signals
+	hangUp  <-chan os.Signal
 	control *Control
 }
 
@@ -23,7 +25,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.signals:
+		case taken := <-r.hangUp:
+			r.signals.LogSignal(taken, r.control.log)
 		}
 		cfg := &wire.ControlSettings{}
 		err := settings.Load(r.file, cfg)
@@ -32,6 +35,8 @@
 		}
 		if err != nil {
 			event.Reloaded.Log(ctx, r.control.log, slog.Bool("used", false), slog.Any("error", err))
+			continue
 		}
+		event.Reloaded.Log(ctx, r.control.log, slog.Bool("used", true), slog.Any("seeds", cfg.GetSeeds()))
 	}
 }
--- a/lib/entry/main.go
+++ b/lib/entry/main.go
@@ -33,12 +33,12 @@
 	return process.Daemon("entry", "Runs one entry host.", args, w, serve)
 }
 
-func serve(ctx context.Context, file string, log *slog.Logger) error {
+func serve(signals *process.Signals, file string, log *slog.Logger) error {
 	cfg := &wire.EntrySettings{}
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	return Run(ctx, cfg, log, process.LogReady(log))
+	return Run(signals.Context(), cfg, log, signals.LogReady(log))
 }
 
 // Run serves as an entry until ctx ends or an operator drains it, and then
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -11,6 +11,9 @@
 		Field{"version", "version of the program"}, address, Field{"dataCentre", "data centre"}, Field{"rack", "rack"}, Field{"announce", "address on which the process receives worker announcements"}, Field{"announces", "addresses on which several agents in one process receive worker announcements"}, Field{"metrics", "address of the metrics page"})
 	Stopping = commonSection.change("stopping", "The process is shutting down.",
 		"It accepts no new work and completes the work in flight.", reason, Field{"inFlight", "requests or runs in flight"}, Field{"graceMillis", "time allowed for the shutdown"})
+	SignalTaken = commonSection.change("signalTaken", "The process received a signal.",
+		"SIGTERM and SIGINT shut the process down, SIGHUP asks for a reload of its settings.",
+		Field{"signal", "name of the signal: terminated, interrupt or hangup"}, Field{"phase", "starting, running or stopping"})
 	CutOff = commonSection.warning(Failure, "cutOff", "Work in flight was aborted at shutdown.",
 		"The work in flight did not complete within the time allowed for the shutdown.", errorText)
 	Stopped = commonSection.change("stopped", "The process has stopped.",
@@ -18,7 +21,7 @@
 	Failed = commonSection.add(Failure, slog.LevelError, "processFailed", "The process failed.",
 		"Last line of a process that ended with exit code 1.", errorText)
 	Reloaded = commonSection.change("reloaded", "The settings were reloaded.",
-		"The settings file has changed.", Field{"used", "whether the new settings are applied"}, Field{"seeds", "addresses of control hosts"}, errorText)
+		"The settings file has changed, or a signal asked for a reload.", Field{"used", "whether the new settings are applied"}, Field{"changed", "whether the settings differ from those in force"}, Field{"seeds", "addresses of control hosts"}, errorText)
 	ConfigInForce = commonSection.change("configInForce", "A configuration is in force.",
 		"The process applies it to all further decisions.", version, Field{"before", "version of the configuration that it replaces"})
 	DeclaredDead = commonSection.add(Change, slog.LevelError, "declaredDead", "The control group has declared this process dead.",
--- a/lib/process/run.go
+++ b/lib/process/run.go
@@ -1,7 +1,6 @@
 package process
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -24,8 +23,10 @@
 }
 
 // Daemon runs the named part until a signal ends it and returns the exit code.
-// The part reads its settings file and serves until ctx ends.
-func Daemon(part, help string, args []string, w io.Writer, serve func(ctx context.Context, settings string, log *slog.Logger) error) int {
+// The part reads its settings file and serves until the signals' context ends.
+func Daemon(part, help string, args []string, w io.Writer, serve func(signals *Signals, settings string, log *slog.Logger) error) int {
+	signals := CatchSignals()
+	defer signals.Release()
 	var f flags
 	parser, err := kong.New(&f, kong.Name(part), kong.Description(help), kong.Writers(w, w))
 	if err != nil {
@@ -36,8 +37,7 @@
 		fmt.Fprintf(w, "%s: %v\n", part, err)
 		return ExitUsage
 	}
-	ctx, cancel := SignalContext()
-	defer cancel()
 	log := OpenLog(w, part, f.LogJSON)
-	return log.Stop(serve(ctx, f.Settings, log.Logger()))
+	signals.Start(log.Logger())
+	return log.Stop(serve(signals, f.Settings, log.Logger()))
 }
