lease: an odd end takes no other end with it

What callers saw: one end with a number far ahead in a worker's report had all later ends taken for processed, and acknowledged at the worker: their runs counted as missing, and their tasks started again after an acknowledged end. An end of which only the number can be read was acknowledged at once as if it had been understood.

Cause: the cursor followed the largest number listed, whatever it was.

Change: an end far ahead of the cursor is left out, counted and logged once, and never acknowledged. An end that can't be read is acknowledged after 2 s, or when the list is full, so that it doesn't block later ends; while it is not, no run counts as missing, and it is processed if it can be read when it is listed again. The poller pauses while rows are left out, as the worker answers at once then. ackCursor takes the smallest number that isn't stored.

Ruled out: never acknowledging an unreadable end; a worker lists 500 ends and would list no later one. A worker lists what it was sent, so an end of this agent's runs can be read.

--- a/lib/event/agent.go
+++ b/lib/event/agent.go
@@ -28,8 +28,11 @@
 		"The worker gave a reason; the agent corrects its state of the worker.",
 		job, task, run, worker, operation, reason, free, need)
 	EndGivenUp = agentSection.warning(Failure, "endGivenUp", "The end of a run was acknowledged to the worker without being stored.",
-		"The entry's session has ended and no other entry took over its job in time; the task may run again.",
+		"The entry's session has ended and no other entry took over its job in time, or the end could not be read; the task may run again.",
 		task, attempt, outcome, age)
+	ReportRowRefused = agentSection.warning(Refusal, "reportRowRefused", "Rows of the worker's report can't be used.",
+		"The other rows are used. An end that can't be read is acknowledged only after a time, as it may be readable when it is listed again.",
+		worker, life, reason, Field{"rows", "number of rows that are left out"}, Field{"number", "number of the end"})
 	WorkerCame = agentSection.change("workerCame", "A worker has registered.",
 		"The worker announced itself; the agent may start runs once it holds the worker's lease.", worker, service, life, free, Field{"labels", "labels of the worker"}, address)
 	WorkerSilent = agentSection.warning(Change, "workerSilent", "The worker does not respond.",
--- a/lib/lease/entries_test.go
+++ b/lib/lease/entries_test.go
@@ -61,3 +61,69 @@
 		})
 	}
 }
+
+// TestOddEndsLeaveOthersReported guards against an end by another writer, or one
+// that can't be read, that loses or delays the other ends.
+func TestOddEndsLeaveOthersReported(t *testing.T) {
+	const goodEnd = 2
+	tests := []struct {
+		name string
+		odd  Ended
+		// ackedEarly and ackedLate are the ends acknowledged after one and four
+		// seconds.
+		ackedEarly, ackedLate uint64
+	}{
+		{"unreadable", Ended{Number: 1}, 0, goodEnd},
+		{"number far ahead", Ended{Number: 1 << 50, Task: "x", Run: 1, How: Done}, goodEnd, goodEnd},
+		{"unreadable, number far ahead", Ended{Number: 1 << 50}, goodEnd, goodEnd},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withDriver(t, func(d *driver) {
+				d.watch(entryOne, 0)
+				d.mustAccept(entryOne, 1, "first")
+				d.mustAccept(entryOne, 1, "second")
+				d.sleep(10)
+				d.w.withLock(func() { d.w.lastEnd, d.w.ends = 1, []Ended{tt.odd} })
+				d.w.finish("first", 1, Done)
+				d.sleep(20)
+				d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"first", 1}: "DONE "})
+				d.w.withLock(func() { d.w.holds = nil })
+				d.watchFor(entryOne, 1000)
+				d.Equal(d.acknowledged(), tt.ackedEarly)
+				d.True(len(d.w.holds) < 60)
+				d.watchFor(entryOne, 3000)
+				d.Equal(d.acknowledged(), tt.ackedLate)
+				d.Equal(d.w.runningTasks(), []string{"second"})
+				d.w.finish("second", 1, Failed)
+				d.sleep(60)
+				d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"first", 1}: "DONE ", {"second", 1}: "FAILED failed"})
+			})
+		})
+	}
+}
+
+// TestUnreadableEndThatIsReadLater guards against the loss of an end that could
+// be read only when it was listed again.
+func TestUnreadableEndThatIsReadLater(t *testing.T) {
+	withDriver(t, func(d *driver) {
+		d.watch(entryOne, 0)
+		d.mustAccept(entryOne, 1, "a")
+		d.sleep(10)
+		d.w.withLock(func() {
+			d.w.onHold = func(_ Hold, apply func() Report) (Report, error) {
+				r := apply()
+				for i := range r.Ended {
+					r.Ended[i] = Ended{Number: r.Ended[i].Number}
+				}
+				return r, nil
+			}
+		})
+		d.watchFor(entryOne, 400)
+		d.w.finish("a", 1, Done)
+		d.Equal(len(d.watchFor(entryOne, 500).GetEnds()), 0)
+		d.w.withLock(func() { d.w.onHold = nil })
+		d.Equal(endsOf(d.watchFor(entryOne, 200)), map[runKey]string{{"a", 1}: "DONE "})
+		d.Equal(d.acknowledged(), uint64(1))
+	})
+}
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -147,7 +147,7 @@
 	}
 	inc.repliedAt = now
 	inc.ackedHoldSentAt = max(inc.ackedHoldSentAt, sent)
-	m.applyEnds(inc, report.Ended)
+	m.applyEnds(inc, report)
 	if seq > inc.lastHoldApplied {
 		inc.lastHoldApplied = seq
 		m.applyRunning(inc, q, seq, sent, report)
--- a/lib/lease/incarnation.go
+++ b/lib/lease/incarnation.go
@@ -49,6 +49,10 @@
 	cursor uint64
 	// unstored holds the ends that must not be acknowledged yet.
 	unstored []*unstored
+	// endsFull is set if the last report may lack the newest ends.
+	endsFull bool
+	// unusableRows is the number of rows of the last report that were left out.
+	unusableRows int
 	// priorLeaseUntil is when a lease that an earlier incarnation of the
 	// agent granted has certainly expired; 0 before the first hold was
 	// answered.
--- a/lib/lease/metrics.go
+++ b/lib/lease/metrics.go
@@ -23,6 +23,9 @@
 	// unstored counts ends of runs of durable jobs that were acknowledged
 	// although no entry had stored them.
 	unstored tally.Counter
+	// reportRows counts rows of the worker's reports that were not usable, by
+	// reason.
+	reportRows *metric.Counters
 	// announcements counts ignored and refused announcements, by reason.
 	announcements *metric.Counters
 
@@ -45,6 +48,7 @@
 		retries:       metric.NewReasonCounters(scope, "retries"),
 		ends:          metric.NewReasonCounters(scope, "ends"),
 		unstored:      scope.Counter("ends_given_up"),
+		reportRows:    metric.NewReasonCounters(scope, "report_rows"),
 		announcements: metric.NewReasonCounters(scope, "announcements"),
 		running:       scope.Gauge("running"),
 		free: [3]tally.Gauge{
--- a/lib/lease/report.go
+++ b/lib/lease/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -9,19 +10,53 @@
 	"skylarklane.example/lib/wire"
 )
 
+const (
+	// maxEndGap is how far the number of an end may be ahead of the one before it,
+	// and maxFirstEnd the largest number of the first one that this agent gets.
+	// Without a limit, one end by another writer would have all later ends taken
+	// for processed, and acknowledged.
+	maxEndGap   = 1 << 20
+	maxFirstEnd = 1 << 40
+)
+
 // applyEnds processes the ends that were not processed before. Reports repeat
 // ends, because they may arrive out of order and ends stay listed until they
 // are acknowledged.
-func (m *Manager) applyEnds(inc *incarnation, ends []Ended) {
-	ends = slices.Clone(ends)
+func (m *Manager) applyEnds(inc *incarnation, report Report) {
+	ends := slices.Clone(report.Ended)
 	slices.SortFunc(ends, func(a, b Ended) int { return cmp.Compare(a.Number, b.Number) })
+	unusable := report.Unreadable
 	for _, e := range ends {
-		if e.Number <= inc.cursor {
-			continue
+		switch {
+		case e.Number > inc.maxNextEnd():
+			unusable++
+		case e.Task == "":
+			m.deferUnreadableAck(inc, e)
+		case e.Number > inc.cursor || inc.dropUnreadable(e.Number):
+			inc.cursor = max(inc.cursor, e.Number)
+			m.applyEnd(inc, e)
 		}
-		inc.cursor = e.Number
-		m.applyEnd(inc, e)
 	}
+	inc.endsFull = report.Partial
+	m.recordUnusable(inc, unusable)
+}
+
+// maxNextEnd returns the largest number that an end may have.
+func (inc *incarnation) maxNextEnd() uint64 {
+	if inc.cursor == 0 {
+		return maxFirstEnd
+	}
+	return inc.cursor + maxEndGap
+}
+
+// recordUnusable counts and logs rows of a report that are left out, unless the
+// report before had as many.
+func (m *Manager) recordUnusable(inc *incarnation, rows int) {
+	if rows > inc.unusableRows {
+		m.metrics.reportRows.Inc("unusable")
+		m.logIncarnation(event.ReportRowRefused, inc, reasonAttr("unusable"), slog.Int("rows", rows))
+	}
+	inc.unusableRows = rows
 }
 
 func (m *Manager) applyEnd(inc *incarnation, e Ended) {
@@ -65,7 +100,7 @@
 		present[id] = true
 		m.applyPresent(inc, id, sent)
 	}
-	if report.Partial {
+	if report.Partial || inc.hasUnreadableEnd() {
 		return
 	}
 	for _, r := range inc.active {
--- a/lib/lease/unstored.go
+++ b/lib/lease/unstored.go
@@ -19,6 +19,9 @@
 	// durable jobs are refused, because a worker lists only a bounded number of
 	// ends.
 	maxUnstored = 200
+	// unreadableTimeout is how long an end that can't be read stays
+	// unacknowledged, as it may be readable when it is listed again.
+	unreadableTimeout = 2 * time.Second
 	// unstoredPause and unstoredPauseLong are the pauses between holds while
 	// ends are unacknowledged, as the worker answers these holds at once.
 	unstoredPause     = 10 * time.Millisecond
@@ -43,6 +46,8 @@
 	// end; nil if the run is unknown and no entry has taken its job over.
 	session *session
 	end     uint64
+	// unreadable is set if nothing but the number of the end could be read.
+	unreadable bool
 	// listedAt is the reading of the agent's clock when the end was listed.
 	listedAt time.Duration
 }
@@ -94,19 +99,52 @@
 	})
 }
 
+// deferUnreadableAck defers the acknowledgement of an end that can't be read.
+// No run counts as missing until then, as the end may be its end.
+func (m *Manager) deferUnreadableAck(inc *incarnation, e Ended) {
+	if e.Number <= inc.cursor {
+		return
+	}
+	inc.cursor = e.Number
+	inc.unstored = append(inc.unstored, &unstored{number: e.Number, unreadable: true, listedAt: m.cfg.Clock.Now()})
+	m.metrics.reportRows.Inc("unreadableEnd")
+	m.logIncarnation(event.ReportRowRefused, inc, reasonAttr("unreadableEnd"), slog.Uint64("number", e.Number))
+}
+
+// dropUnreadable reports whether the end with this number is one that could not
+// be read, and forgets it.
+func (inc *incarnation) dropUnreadable(number uint64) bool {
+	n := len(inc.unstored)
+	inc.unstored = slices.DeleteFunc(inc.unstored, func(u *unstored) bool { return u.unreadable && u.number == number })
+	return len(inc.unstored) < n
+}
+
+// hasUnreadableEnd reports whether there is an unacknowledged end that can't be
+// read.
+func (inc *incarnation) hasUnreadableEnd() bool {
+	return slices.ContainsFunc(inc.unstored, func(u *unstored) bool { return u.unreadable })
+}
+
 // ackCursor returns the number up to which the worker may drop its ends.
 func (m *Manager) ackCursor(inc *incarnation) uint64 {
 	inc.unstored = slices.DeleteFunc(inc.unstored, func(u *unstored) bool { return m.isResolved(inc, u) })
-	if len(inc.unstored) == 0 {
-		return inc.cursor
+	cursor := inc.cursor
+	for _, u := range inc.unstored {
+		cursor = min(cursor, u.number-1)
 	}
-	return inc.unstored[0].number - 1
+	return cursor
 }
 
 // isResolved reports whether the acknowledgement of an end no longer has to be
 // deferred: an entry has stored it, or the wait for that is over.
 func (m *Manager) isResolved(inc *incarnation, u *unstored) bool {
 	switch {
+	case u.unreadable:
+		if !inc.endsFull && m.cfg.Clock.Now() < u.listedAt+unreadableTimeout {
+			return false
+		}
+		m.logGivenUp(u, "unreadable")
+		return true
 	case u.session == nil:
 		return m.monotonic() >= inc.priorLeaseUntil || !m.cfg.HasDurableJobs()
 	case u.session.ackedEnd >= u.end:
@@ -114,25 +152,32 @@
 	case u.session.alive || m.cfg.Clock.Now() < max(u.listedAt, u.session.until)+storeTimeout:
 		return false
 	}
+	m.logGivenUp(u, u.how.Word())
+	return true
+}
+
+// logGivenUp counts and logs an end that is acknowledged without being stored.
+func (m *Manager) logGivenUp(u *unstored, how string) {
 	m.metrics.unstored.Inc(1)
 	m.logEvent(event.EndGivenUp, slog.String("task", u.key.task), slog.Uint64("attempt", uint64(u.key.attempt)),
-		slog.String("how", u.how.Word()), millisAttr("ageMillis", m.cfg.Clock.Now()-u.listedAt))
-	return true
+		slog.String("how", how), millisAttr("ageMillis", m.cfg.Clock.Now()-u.listedAt))
 }
 
 // awaitsLeaseExpiry reports whether the lease must not be extended yet, because
 // there are unacknowledged ends of unknown runs whose job no entry has taken
 // over.
 func (m *Manager) awaitsLeaseExpiry(inc *incarnation) bool {
-	return slices.ContainsFunc(inc.unstored, func(u *unstored) bool { return u.session == nil && !m.isResolved(inc, u) })
+	return slices.ContainsFunc(inc.unstored, func(u *unstored) bool { return !u.unreadable && u.session == nil && !m.isResolved(inc, u) })
 }
 
 // pauseForUnstored returns the pause before the next hold; 0 unless ends are
-// unacknowledged.
+// unacknowledged or can't be.
 func (m *Manager) pauseForUnstored(inc *incarnation) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
+	case inc.unusableRows > 0:
+		return unstoredPauseLong
 	case len(inc.unstored) == 0:
 		return 0
 	case m.cfg.Clock.Now()-inc.unstored[0].listedAt > unstoredPauseGrowsAt:
--- a/lib/lease/worker.go
+++ b/lib/lease/worker.go
@@ -93,6 +93,9 @@
 	Ended   []Ended
 	// Partial is set if Ended may lack the newest ends.
 	Partial bool
+	// Unreadable is the number of rows that are left out because they can't be
+	// read, other than those in Ended.
+	Unreadable int
 }
 
 // Running identifies one run at a worker.
@@ -116,7 +119,7 @@
 )
 
 // Ended is the end of one run, as listed by a worker. Number counts the ends of
-// an incarnation from 1.
+// an incarnation from 1. Task is empty if the end can't be read otherwise.
 type Ended struct {
 	Number uint64
 	Task   string
