process: a daemon owns its signals until it has exited

Cause: the receiver of a signal was tied to a loop or a context that ends before the process: settingsFile.watch (platform) and serve (control host) took SIGHUP late and gave it back at SIGTERM, the deferred cancel gave SIGTERM and SIGINT back before the log was closed, and the product's entry and agent never took SIGHUP. What remains: a SIGHUP in the few milliseconds between exec and main still has its default action; a process can't prevent this.

--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -4,10 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
@@ -32,10 +29,7 @@
 	if err := settings.Load(file, cfg); err != nil {
 		return err
 	}
-	hangUp := make(chan os.Signal, 1)
-	signal.Notify(hangUp, syscall.SIGHUP)
-	defer signal.Stop(hangUp)
-	return run(signals.Context(), cfg, log, signals.LogReady(log), &seedReloader{file: file, signals: signals, hangUp: hangUp})
+	return run(signals.Context(), cfg, log, signals.LogReady(log), &seedReloader{file: file, requests: signals.Reloads()})
 }
 
 // Run serves as one control host until ctx ends. It calls ready once it listens.
--- a/lib/control/seed_reloader.go
+++ b/lib/control/seed_reloader.go
@@ -3,21 +3,18 @@
 import (
 	"context"
 	"log/slog"
-	"os"
 
 	"skylarklane.example/lib/event"
-	"skylarklane.example/lib/process"
 	"skylarklane.example/lib/settings"
 	"skylarklane.example/lib/wire"
 )
 
-// seedReloader reads the settings file again at each signal and applies its
+// seedReloader reads the settings file again at each request and applies its
 // seeds. The other settings take effect only at the next start.
 type seedReloader struct {
-	file    string
-	signals *process.Signals
-	hangUp  <-chan os.Signal
-	control *Control
+	file     string
+	requests <-chan struct{}
+	control  *Control
 }
 
 func (r *seedReloader) run(ctx context.Context) {
@@ -25,8 +22,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case taken := <-r.hangUp:
-			r.signals.LogSignal(taken, r.control.log)
+		case <-r.requests:
 		}
 		cfg := &wire.ControlSettings{}
 		err := settings.Load(r.file, cfg)
--- a/lib/process/run.go
+++ b/lib/process/run.go
@@ -26,7 +26,6 @@
 // The part reads its settings file and serves until the signals' context ends.
 func Daemon(part, help string, args []string, w io.Writer, serve func(signals *Signals, settings string, log *slog.Logger) error) int {
 	signals := CatchSignals()
-	defer signals.Release()
 	var f flags
 	parser, err := kong.New(&f, kong.Name(part), kong.Description(help), kong.Writers(w, w))
 	if err != nil {
--- a/lib/process/signals.go
+++ b/lib/process/signals.go
@@ -18,34 +18,45 @@
 	phaseStopping = "stopping"
 )
 
-// Signals receives the signals that end a daemon, and logs them.
+// maxPendingSignals is how many signals of one kind may wait to be logged. Further
+// ones are dropped; they ask for nothing new.
+const maxPendingSignals = 8
+
+// Signals owns the signals of a daemon from the first statement of the program
+// until the process has exited. None is ever given back, as its default action
+// would end a process that is still serving or shutting down.
 type Signals struct {
 	terminate chan os.Signal
+	hangUp    chan os.Signal
+	reloads   chan struct{}
 	ctx       context.Context
 	cancel    context.CancelFunc
 	running   atomic.Bool
 }
 
-// CatchSignals catches SIGTERM and SIGINT until Release is called.
+// CatchSignals catches SIGTERM, SIGINT and SIGHUP. A process calls it once.
 func CatchSignals() *Signals {
-	s := &Signals{terminate: make(chan os.Signal, 1)}
+	s := &Signals{
+		terminate: make(chan os.Signal, maxPendingSignals),
+		hangUp:    make(chan os.Signal, maxPendingSignals),
+		reloads:   make(chan struct{}, 1),
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hangUp, syscall.SIGHUP)
 	return s
 }
 
-// Release gives the signals back.
-func (s *Signals) Release() {
-	signal.Stop(s.terminate)
-	s.cancel()
-}
-
 // Start logs and applies the signals received so far and all later ones.
 func (s *Signals) Start(log *slog.Logger) { go s.run(log) }
 
-// Context returns a context that ends with the first signal to end the process.
+// Context returns a context that ends with the first SIGTERM or SIGINT.
 func (s *Signals) Context() context.Context { return s.ctx }
 
+// Reloads returns a channel that receives a value after each SIGHUP. Several
+// requests that nobody has received yet count as one.
+func (s *Signals) Reloads() <-chan struct{} { return s.reloads }
+
 // SetRunning marks the end of the process's start.
 func (s *Signals) SetRunning() { s.running.Store(true) }
 
@@ -58,18 +69,26 @@
 	}
 }
 
-// LogSignal logs that the process takes a signal.
-func (s *Signals) LogSignal(taken os.Signal, log *slog.Logger) {
-	event.SignalTaken.Log(context.Background(), log, slog.String("signal", taken.String()), slog.String("phase", s.phase()))
-}
-
 func (s *Signals) run(log *slog.Logger) {
-	for taken := range s.terminate {
-		s.LogSignal(taken, log)
-		s.cancel()
+	for {
+		select {
+		case taken := <-s.terminate:
+			s.log(taken, log)
+			s.cancel()
+		case taken := <-s.hangUp:
+			s.log(taken, log)
+			select {
+			case s.reloads <- struct{}{}:
+			default:
+			}
+		}
 	}
 }
 
+func (s *Signals) log(taken os.Signal, log *slog.Logger) {
+	event.SignalTaken.Log(context.Background(), log, slog.String("signal", taken.String()), slog.String("phase", s.phase()))
+}
+
 func (s *Signals) phase() string {
 	switch {
 	case s.ctx.Err() != nil:
