lease: a worker is replaced only by one that answers

What callers saw: a well-formed announcement by another writer, under another id or with a later start time, took the worker's place. Its runs were lost, and its own announcements were refused as those of a former life for ever, as was the case for a worker that came after an odd announcement: the agent had no worker until it was started again.

Cause: a later start time alone was taken as proof of a new incarnation, and the name of a replaced one stayed barred even if its successor never answered.

Change: before it replaces the current incarnation, the announced one must answer a hold, without a deadline, as itself (id and start time); refused as `unconfirmed` otherwise, with one line and a count. While the current one is silent or has answered as another, any incarnation that answers may replace it.

Ruled out: bounds on the start time; clocks of workers may be off by any amount.

--- a/lib/event/agent.go
+++ b/lib/event/agent.go
@@ -45,7 +45,7 @@
 	WorkerNewLife = agentSection.warning(Change, "workerNewLife", "The worker has restarted.",
 		"The announcement has a new incarnation of the worker: the runs of the former one are lost.", worker, life, Field{"lost", "number of runs that were lost"})
 	AnnouncementRefused = agentSection.warning(Refusal, "announcementRefused", "An announcement was refused.",
-		"The announcement was malformed or came from a former incarnation of the worker.", worker, reason, life, errorText)
+		"The announcement was malformed, came from a former incarnation of the worker, or names one that does not answer.", worker, reason, life, errorText)
 	Cleared = agentSection.change("cleared", "All runs of earlier incarnations have ended.",
 		"Entries are notified and place the tasks of those runs again.", worker, life, reason, Field{"tookMillis", "time since the agent started"})
 	FenceRaised = agentSection.change("fenceRaised", "The agent has a new fencing token.",
--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -17,6 +17,7 @@
 		m.RejectMalformed(a.ID, err)
 		return err
 	}
+	confirmed := m.needsConfirmation(a) && m.confirm(a)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSessions()
@@ -25,18 +26,46 @@
 		m.activate(a)
 	case a.IncarnationName() == m.incarnation.name:
 		m.update(m.incarnation, a)
-	case m.isNewer(a):
-		m.replace(a)
-	default:
+	case !m.mayReplace(a):
 		m.rejected = &a
 		m.incarnation.requestHold()
-		m.metrics.announcements.Inc("formerLife")
-		m.logEvent(event.AnnouncementRefused, slog.String("worker", a.ID), slog.Int64("life", a.Born), reasonAttr("formerLife"))
+		m.rejectAnnouncement(a, "formerLife")
+	case !confirmed:
+		m.rejectAnnouncement(a, "unconfirmed")
+	default:
+		m.replace(a)
 	}
 	m.refreshState()
 	return nil
 }
 
+// rejectAnnouncement counts and logs an announcement that changes nothing.
+func (m *Manager) rejectAnnouncement(a Announcement, reason string) {
+	m.metrics.announcements.Inc(reason)
+	m.logEvent(event.AnnouncementRefused, slog.String("worker", a.ID), slog.Int64("life", a.Born), reasonAttr(reason))
+}
+
+// needsConfirmation reports whether a may replace the current incarnation.
+func (m *Manager) needsConfirmation(a Announcement) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.incarnation != nil && a.IncarnationName() != m.incarnation.name && m.mayReplace(a)
+}
+
+// confirm reports whether the announced incarnation answers a call. An
+// announcement alone doesn't show that, as it may be delayed or come from another
+// writer.
+func (m *Manager) confirm(a Announcement) bool {
+	m.mu.Lock()
+	q := Hold{Fence: m.fence.number, WorkerID: a.ID}
+	m.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	report, err := m.dial(a).Hold(ctx, q)
+	answered := err == nil && (report.Refusal == Accepted || report.Refusal == RefusedFence)
+	return answered && (report.Born == 0 || report.Born == a.Born)
+}
+
 // RejectMalformed counts and logs an announcement under the given id that can't
 // be used.
 func (m *Manager) RejectMalformed(id string, err error) {
@@ -66,6 +95,13 @@
 	return m.incarnation.mismatched || a.Born > m.incarnation.announcement.Born
 }
 
+// mayReplace reports whether a may belong to a later incarnation than the current
+// one. It may in any case if the current one doesn't answer, as that one may come
+// from another writer.
+func (m *Manager) mayReplace(a Announcement) bool {
+	return m.incarnation.mismatched || m.isSilent(m.incarnation) || m.isNewer(a)
+}
+
 func (m *Manager) update(inc *incarnation, a Announcement) {
 	if a.Sequence <= inc.announcement.Sequence {
 		m.metrics.announcements.Inc("late")
@@ -97,6 +133,7 @@
 func (m *Manager) replace(a Announcement) {
 	old := m.incarnation
 	old.retired = true
+	m.retiredNames = slices.DeleteFunc(m.retiredNames, func(name string) bool { return name == a.IncarnationName() })
 	m.retiredNames = append(m.retiredNames, old.name)
 	if len(m.retiredNames) > maxRetiredNames {
 		m.retiredNames = m.retiredNames[1:]
--- a/lib/lease/entries_test.go
+++ b/lib/lease/entries_test.go
@@ -127,3 +127,61 @@
 		d.Equal(d.acknowledged(), uint64(1))
 	})
 }
+
+// TestAnnouncementOfNoWorkerChangesNothing guards against a well-formed
+// announcement by another writer that takes the worker's place.
+func TestAnnouncementOfNoWorkerChangesNothing(t *testing.T) {
+	tests := []struct {
+		name   string
+		odd    func(a *Announcement)
+		silent bool
+	}{
+		{"later start", func(a *Announcement) { a.Born = 9000 }, false},
+		{"later start at an address without a worker", func(a *Announcement) { a.Born, a.Address = 9000, "10.0.0.9:80" }, true},
+		{"other id", func(a *Announcement) { a.ID, a.Born = "odd", 9000 }, false},
+		{"other id at an address without a worker", func(a *Announcement) { a.ID, a.Born, a.Address = "odd", 9000, "10.0.0.9:80" }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withDriver(t, func(d *driver) {
+				d.watch(entryOne, 0)
+				d.mustAccept(entryOne, 1, "a")
+				odd := d.w.announcement
+				tt.odd(&odd)
+				d.workers[odd.IncarnationName()] = d.w
+				if tt.silent {
+					none := newFakeWorker(odd.ID, odd.Born)
+					none.silent = true
+					d.workers[odd.IncarnationName()] = none
+				}
+				for range 5 {
+					d.NoErr(d.manager.Announce(odd))
+					d.watchFor(entryOne, 300)
+				}
+				reply := d.watch(entryOne, 0)
+				d.Equal(reply.GetWorker().GetId(), "w1@1000")
+				d.Equal(len(reply.GetEnds()), 0)
+				d.Equal(d.w.runningTasks(), []string{"a"})
+				d.w.announcement.Draining = true
+				d.announce(d.w)
+				d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerDraining")
+			})
+		})
+	}
+}
+
+// TestWorkerAnnouncedAfterAnOddOne guards against an announcement by another
+// writer that comes first and shuts the worker out.
+func TestWorkerAnnouncedAfterAnOddOne(t *testing.T) {
+	withoutWorker(t, func(d *driver) {
+		odd := newFakeWorker("odd", 9000)
+		odd.silent = true
+		d.announce(odd)
+		d.announce(d.w)
+		d.watchFor(entryOne, 500)
+		d.announce(d.w)
+		d.watchFor(entryOne, 100)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetId(), "w1@1000")
+		d.mustAccept(entryOne, 1, "a")
+	})
+}
--- a/lib/lease/manager_test.go
+++ b/lib/lease/manager_test.go
@@ -42,6 +42,15 @@
 
 // withDriver runs f with a manager whose worker is announced and cleared.
 func withDriver(t *testing.T, f func(d *driver)) {
+	withoutWorker(t, func(d *driver) {
+		d.announce(d.w)
+		d.sleep(50)
+		f(d)
+	})
+}
+
+// withoutWorker runs f with a manager to which no worker is announced.
+func withoutWorker(t *testing.T, f func(d *driver)) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDriver(t)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -55,8 +64,6 @@
 			<-done
 		}()
 		synctest.Wait()
-		d.announce(d.w)
-		d.sleep(50)
 		f(d)
 	})
 }
