lease: count the lease by the clock in the worker's answers only

What callers saw: an announcement by another writer with a clock reading far ahead had every later hold and start ask for the longest lease that the worker grants, whatever the sessions allowed: runs of a lost entry could outlast the time after which its job is sent again.

Cause: the estimate of the worker's clock only goes forward, and it took the reading of any announcement.

Change: only answers set the clock. Nothing is lost by that: no lease is given before the worker is cleared, which takes an answered hold.

--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -114,7 +114,6 @@
 	inc.departed = false
 	inc.unannounced = false
 	inc.mismatched = false
-	inc.updateClock(a.ClockMillis, m.monotonic())
 }
 
 func (m *Manager) activate(a Announcement) {
@@ -189,7 +188,6 @@
 func (m *Manager) replaceFromReport(inc *incarnation, report Report) {
 	a := inc.announcement
 	a.Born = report.Born
-	a.ClockMillis = report.ClockMillis
 	a.Sequence = 0
 	m.markMismatched(inc)
 	if inc != m.incarnation || slices.Contains(m.retiredNames, a.IncarnationName()) {
--- a/lib/lease/entries_test.go
+++ b/lib/lease/entries_test.go
@@ -185,3 +185,21 @@
 		d.mustAccept(entryOne, 1, "a")
 	})
 }
+
+// TestClockOfAnOddAnnouncement guards against a clock reading by another writer
+// that lengthens the worker's lease.
+func TestClockOfAnOddAnnouncement(t *testing.T) {
+	withDriver(t, func(d *driver) {
+		d.watch(entryOne, 0)
+		d.mustAccept(entryOne, 1, "a")
+		odd := d.w.announcement
+		odd.ClockMillis = 1 << 50
+		d.NoErr(d.manager.Announce(odd))
+		d.watchFor(entryOne, 500)
+		d.w.mu.Lock()
+		defer d.w.mu.Unlock()
+		for _, q := range d.w.holds {
+			d.True(q.DeadlineMillis <= d.w.clock()+DefaultLease.Milliseconds())
+		}
+	})
+}
--- a/lib/lease/incarnation.go
+++ b/lib/lease/incarnation.go
@@ -29,7 +29,8 @@
 	// unknown run waits for an owner.
 	cleared bool
 	// clockMillis is a reading of the worker's clock, taken at clockAt or
-	// before.
+	// before; 0 before its first answer. A reading in an announcement may come
+	// from another writer, and one that is ahead would lengthen the lease.
 	clockMillis int64
 	clockAt     time.Duration
 	// repliedAt is when the newest answer to a hold arrived.
@@ -86,7 +87,6 @@
 		name:         a.IncarnationName(),
 		announcement: a,
 		worker:       w,
-		clockMillis:  a.ClockMillis,
 		clockAt:      now,
 		repliedAt:    now,
 		active:       map[string]*run{},
--- a/lib/lease/worker.go
+++ b/lib/lease/worker.go
@@ -135,7 +135,8 @@
 	Born int64
 	// Sequence grows with each announcement of an incarnation.
 	Sequence uint64
-	// ClockMillis is a reading of the worker's clock.
+	// ClockMillis is a reading of the worker's clock. Leases are not counted by
+	// it.
 	ClockMillis int64
 	// Address is where the worker accepts calls.
 	Address      string
