lease: an odd sequence number does not mute the worker

What callers saw: an announcement by another writer under the worker's id and start time, with a high sequence number, had all the worker's own announcements ignored as late until it started again: its draining was acknowledged and not obeyed, and a wrong capacity stayed in force.

Cause: the highest number ever seen won for good.

Change: if late numbers have risen for 3 s and none that isn't late came, they are used again. Announcements that were delayed by a partition come beside newer ones, or after a draining, which this never ends.

Ruled out: a limit on the step between two numbers; a worker may count by other units. An announcement by another writer that is right in every field and says `draining` can't be told from the worker's own; it stays until the worker starts again.

--- a/lib/lease/announce.go
+++ b/lib/lease/announce.go
@@ -103,10 +103,11 @@
 }
 
 func (m *Manager) update(inc *incarnation, a Announcement) {
-	if a.Sequence <= inc.announcement.Sequence {
+	if a.Sequence <= inc.announcement.Sequence && !inc.isSequenceReset(a, m.monotonic()) {
 		m.metrics.announcements.Inc("late")
 		return
 	}
+	inc.lateSequence = 0
 	if a.Address != inc.announcement.Address {
 		inc.worker = m.dial(a)
 	}
--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -98,6 +98,9 @@
 	// clockMargin is the factor by which waits are lengthened so that they
 	// suffice for the slowest worker clock, with a margin.
 	clockMargin = 1.05
+	// sequenceTimeout is for how long rising sequence numbers are ignored because
+	// an announcement with a higher one came before.
+	sequenceTimeout = 3 * time.Second
 	// fenceStep is the first step, in milliseconds, by which a refused fence
 	// is raised.
 	fenceStep = 1000
--- a/lib/lease/entries_test.go
+++ b/lib/lease/entries_test.go
@@ -203,3 +203,22 @@
 		}
 	})
 }
+
+// TestWorkerIsHeardAfterAnOddSequence guards against a sequence number by another
+// writer that has the worker's own announcements ignored for ever.
+func TestWorkerIsHeardAfterAnOddSequence(t *testing.T) {
+	withDriver(t, func(d *driver) {
+		odd := d.w.announcement
+		odd.Sequence = 1 << 50
+		odd.CPUMillis = 1
+		d.NoErr(d.manager.Announce(odd))
+		for range 12 {
+			d.announce(d.w)
+			d.watchFor(entryOne, 300)
+		}
+		d.mustAccept(entryOne, 1, "a")
+		d.w.announcement.Draining = true
+		d.announce(d.w)
+		d.Equal(d.watch(entryOne, 0).GetWorker().GetReason(), "workerDraining")
+	})
+}
--- a/lib/lease/incarnation.go
+++ b/lib/lease/incarnation.go
@@ -28,6 +28,10 @@
 	// cleared is set once the worker has no orphans left and no end of an
 	// unknown run waits for an owner.
 	cleared bool
+	// lateSequence is the largest sequence number since the last announcement that
+	// was not late, 0 if there was none, and lateSince when the first came.
+	lateSequence uint64
+	lateSince    time.Duration
 	// clockMillis is a reading of the worker's clock, taken at clockAt or
 	// before; 0 before its first answer. A reading in an announcement may come
 	// from another writer, and one that is ahead would lengthen the lease.
@@ -109,6 +113,21 @@
 	}
 }
 
+// isSequenceReset reports whether an announcement with a late sequence number is
+// to be used: the numbers of late ones have risen for sequenceTimeout and none that
+// is not late came, so that the last one used was by another writer. Announcements
+// that were delayed never end a draining.
+func (inc *incarnation) isSequenceReset(a Announcement, now time.Duration) bool {
+	if a.Sequence <= inc.lateSequence || inc.announcement.Draining {
+		return false
+	}
+	if inc.lateSequence == 0 {
+		inc.lateSince = now
+	}
+	inc.lateSequence = a.Sequence
+	return now-inc.lateSince >= sequenceTimeout
+}
+
 // used returns the capacity that accepted runs take, including those that are
 // being stopped.
 func (inc *incarnation) used() capacity.Vector {
