--- a/lib/lease/incarnation.go
+++ b/lib/lease/incarnation.go
@@ -28,8 +28,13 @@
 	// cleared is set once the worker has no orphans left and no end of an
 	// unknown run waits for an owner.
 	cleared bool
+	// lateSequence is the largest sequence number since the last announcement that
+	// was not late, 0 if there was none, and lateSince when the first came.
+	lateSequence uint64
+	lateSince    time.Duration
 	// clockMillis is a reading of the worker's clock, taken at clockAt or
-	// before.
+	// before; 0 before its first answer. A reading in an announcement may come
+	// from another writer, and one that is ahead would lengthen the lease.
 	clockMillis int64
 	clockAt     time.Duration
 	// repliedAt is when the newest answer to a hold arrived.
@@ -86,7 +91,6 @@
 		name:         a.IncarnationName(),
 		announcement: a,
 		worker:       w,
-		clockMillis:  a.ClockMillis,
 		clockAt:      now,
 		repliedAt:    now,
 		active:       map[string]*run{},
@@ -109,6 +113,21 @@
 	}
 }
 
+// isSequenceReset reports whether an announcement with a late sequence number is
+// to be used: the numbers of late ones have risen for sequenceTimeout and none that
+// is not late came, so that the last one used was by another writer. Announcements
+// that were delayed never end a draining.
+func (inc *incarnation) isSequenceReset(a Announcement, now time.Duration) bool {
+	if a.Sequence <= inc.lateSequence || inc.announcement.Draining {
+		return false
+	}
+	if inc.lateSequence == 0 {
+		inc.lateSince = now
+	}
+	inc.lateSequence = a.Sequence
+	return now-inc.lateSince >= sequenceTimeout
+}
+
 // used returns the capacity that accepted runs take, including those that are
 // being stopped.
 func (inc *incarnation) used() capacity.Vector {
