lib/control: a new member has a lease from its join on

What callers saw: an entry or agent that had just started was declared dead within a second, left and ended; nobody starts it again in tests without a supervisor. Five tests of whole processes failed by it now and then (TestReplicasKilled, TestReplicaFrozen, TestCuts, TestResubmissionStorm, TestEntryKilled: "still not so: entry2 is ready").

Cause: Control.Renew commits a member's join in one step and records its first renewal in the next. Where the leader's decisions fell between the two, the member was in the directory without a lease, and a lease that is missing counted as expired. The same for a new incarnation beside the lease of its former one.

Change: before it decides, the leader reconciles the leases with the members: it drops those of former members, as before, and grants a full one to each incarnation that it sees for the first time. A member that joins and never renews is still declared dead one lease later.

Evidence: TestDecisionBeforeFirstRenewal fails before the change for a new id, for a new incarnation beside a held and beside an expired lease and for a changed registration ("[]string([worker01]) != <nil>"); a change of leader and the end of an isolation were right already.

Ruled out: isolated() hides the fault only for the first member of a group; the leader's term is right, as a new leader grants all members a lease after everything of earlier terms is applied; a join is proposed by the leader alone, other hosts pass the renewal on.

--- a/lib/control/leases.go
+++ b/lib/control/leases.go
@@ -101,11 +101,17 @@
 	return dead
 }
 
-// prune drops the leases of former members.
-func (l *leases) prune(members []*wire.Member) {
+// reconcile drops the leases of former members and grants a full one to each
+// member that this host sees for the first time: a join is committed before the
+// first renewal is recorded.
+func (l *leases) reconcile(members []*wire.Member, now time.Time) {
 	alive := map[string]bool{}
 	for _, member := range members {
-		alive[member.GetIncarnation().GetId()] = true
+		inc := member.GetIncarnation()
+		alive[inc.GetId()] = true
+		if held := l.held[inc.GetId()]; held == nil || !wire.Same(held.incarnation, inc) {
+			l.grant(inc, 0, now)
+		}
 	}
 	maps.DeleteFunc(l.held, func(id string, _ *lease) bool { return !alive[id] })
 }
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -278,3 +278,65 @@
 	is.Equal(restored.Snapshot(), m.Snapshot())
 	is.True(proto.Equal(restored.activeConfig, m.activeConfig))
 }
+
+// TestDecisionBeforeFirstRenewal guards against a new member that is declared
+// dead because a decision falls between its join and its first renewal.
+func TestDecisionBeforeFirstRenewal(t *testing.T) {
+	fresh, other := newAgent(1, 2), newAgent(2, 1)
+	tests := []struct {
+		name string
+		// before is what happens before the join is applied, after what happens
+		// between the join and the decision.
+		before, after func(g *testState)
+	}{
+		{"a new id", func(*testState) {}, func(*testState) {}},
+		{"a new incarnation beside the lease of the former one",
+			func(g *testState) { g.join(newAgent(1, 1)) }, func(*testState) {}},
+		{"a new incarnation after the lease of the former one has expired",
+			func(g *testState) { g.join(newAgent(1, 1)); g.wait(1100, other) }, func(*testState) {}},
+		{"a change of leader", func(*testState) {}, func(g *testState) { g.startTerm(2, g.now) }},
+		{"a change of its registration", func(*testState) {},
+			func(g *testState) {
+				g.apply(joinCommand(&wire.Member{Incarnation: fresh.Incarnation, Role: fresh.Role, Leaving: true}))
+			}},
+		{"an end of isolation", func(*testState) {},
+			func(g *testState) { g.now = g.now.Add(700 * time.Millisecond); g.join(other) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestState(t)
+			g.startTerm(1, g.now)
+			g.join(other)
+			test.before(g)
+			g.apply(joinCommand(fresh))
+			test.after(g)
+			g.is.Equal(g.dueDeaths(), nil)
+			g.wait(900, other)
+			g.is.Equal(g.dueDeaths(), nil) // it has a full lease
+			g.wait(200, other)
+			g.is.Equal(g.dueDeaths(), []string{"worker01"}) // but no more than one
+		})
+	}
+}
+
+// wait lets the given number of milliseconds pass, while one member renews its
+// lease and the leader decides what is due.
+func (g *testState) wait(millis int, member *wire.Member) {
+	for range millis / 100 {
+		g.now = g.now.Add(100 * time.Millisecond)
+		g.leases.recordRenewal(g.machine.state.GetMembers(), member.GetIncarnation(), 0, g.now)
+		g.dueDeaths()
+	}
+}
+
+// dueDeaths returns the ids of the members that the leader would declare dead
+// now.
+func (g *testState) dueDeaths() []string {
+	var ids []string
+	for _, command := range g.dueCommands(&wire.Limits{}, testShards, g.now) {
+		for _, inc := range command.GetDeclare().GetDead() {
+			ids = append(ids, inc.GetId())
+		}
+	}
+	return ids
+}
--- a/lib/control/state.go
+++ b/lib/control/state.go
@@ -31,7 +31,7 @@
 // dueCommands returns the commands that the leader should propose now.
 func (s *state) dueCommands(limits *wire.Limits, shards uint32, now time.Time) []*wire.Command {
 	members := s.machine.state.GetMembers()
-	s.leases.prune(members)
+	s.leases.reconcile(members, now)
 	if s.machine.state.GetRetentionMillis() != limits.GetRetentionMillis() {
 		return []*wire.Command{limitsCommand(limits)}
 	}
