lib/control: no lease is granted after a member's death is decided

What callers could see: nothing reported. A member whose lease had expired and whose renewal arrived after the leader had decided to declare it dead, but before that was committed, got a full lease, and was dead a moment later. It learned of that by its next renewal (350 ms), or, cut off just then, only when this lease ended. Meanwhile its shards had gone to others, and the 2 s before its durable jobs may be claimed, which count on its lease having ended, ran already.

Cause: proposeDueCommands decides in one step of the log's goroutine and proposes in the next, and the commit takes syncs and messages more; Renew granted leases in all of that time.

Change: the lease of a member that the leader has decided to declare dead is final: it is not renewed, also not at the end of an isolation. The renewal is answered without a lease, so the member asks again, until the death is committed or another term begins, which forgets decisions of earlier ones.

Evidence: TestNoLeaseAfterDeathIsDecided fails before the change in three cases of four ("true != false": the renewal gets a lease): before the commit, 2 s after the decision, and after an isolation in between. After a change of leader the member gets a lease, as before.

Ruled out: a decision of an earlier term that is committed in the next one after its leases were granted: a leader serves renewals only when all entries of earlier terms are applied. Views need no such mark, as their epochs are checked at the commit.

--- a/lib/control/leases.go
+++ b/lib/control/leases.go
@@ -18,6 +18,9 @@
 	incarnation      *wire.Incarnation
 	expiresAt        time.Time
 	directoryVersion uint64
+	// final is set once the leader has decided to declare the member dead: the
+	// command may be committed at any time, so the lease is not renewed.
+	final bool
 }
 
 // quarantine identifies an agent that temporarily may not join a shard's view
@@ -43,10 +46,15 @@
 	return &leases{length: length, held: map[string]*lease{}, quarantined: map[quarantine]time.Time{}}
 }
 
-// grantAll grants every member a full lease from now and drops all other
-// leases and quarantines.
-func (l *leases) grantAll(members []*wire.Member, now time.Time) {
+// startTerm forgets the decisions of earlier terms and grants every member a
+// full lease.
+func (l *leases) startTerm(members []*wire.Member, now time.Time) {
 	clear(l.held)
+	l.grantAll(members, now)
+}
+
+// grantAll grants every member a full lease from now and drops all quarantines.
+func (l *leases) grantAll(members []*wire.Member, now time.Time) {
 	clear(l.quarantined)
 	l.lastRenewalAt = now
 	for _, member := range members {
@@ -71,11 +79,27 @@
 // and the isolation is detected before any lease expires.
 func (l *leases) isolated(now time.Time) bool { return now.Sub(l.lastRenewalAt) >= l.length/2 }
 
-// grant gives a member a full lease from now.
+// grant gives a member a full lease from now, unless its lease is final.
 func (l *leases) grant(inc *wire.Incarnation, directoryVersion uint64, now time.Time) {
+	if l.isFinal(inc) {
+		return
+	}
 	l.held[inc.GetId()] = &lease{incarnation: inc, expiresAt: now.Add(l.length), directoryVersion: directoryVersion}
 }
 
+// end makes the leases of members that the leader declares dead final.
+func (l *leases) end(dead []*wire.Incarnation) {
+	for _, inc := range dead {
+		l.held[inc.GetId()].final = true
+	}
+}
+
+// isFinal reports whether a member's lease is not renewed any more.
+func (l *leases) isFinal(inc *wire.Incarnation) bool {
+	held := l.held[inc.GetId()]
+	return held != nil && held.final && wire.Same(held.incarnation, inc)
+}
+
 // remaining returns the time left on a member's lease, and the directory
 // version that the member last reported.
 func (l *leases) remaining(inc *wire.Incarnation, now time.Time) (time.Duration, uint64) {
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -340,3 +340,40 @@
 	}
 	return ids
 }
+
+// TestNoLeaseAfterDeathIsDecided guards against a member that holds a lease after
+// it was declared dead: its renewal arrives once its death is decided, but not
+// yet committed.
+func TestNoLeaseAfterDeathIsDecided(t *testing.T) {
+	late, other := newAgent(1, 1), newAgent(2, 1)
+	q := &wire.RenewRequest{Member: late}
+	tests := []struct {
+		name string
+		// then is what happens between the decision and the renewal.
+		then    func(g *testState)
+		granted bool
+	}{
+		{"not yet committed", func(*testState) {}, false},
+		{"not committed for a while", func(g *testState) { g.wait(2000, other) }, false},
+		{"isolated before it is committed", func(g *testState) {
+			g.now = g.now.Add(2 * time.Second)
+			g.wait(100, other)
+		}, false},
+		{"lost with the leader", func(g *testState) { g.startTerm(2, g.now) }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestState(t)
+			g.startTerm(1, g.now)
+			g.join(late)
+			g.join(other)
+			g.settle()
+			g.wait(1000, other)
+			decided := g.dueCommands(&wire.Limits{}, testShards, g.now)
+			g.is.Equal(decided[0].GetDeclare().GetDead()[0].GetId(), "worker01")
+			test.then(g)
+			g.is.Equal(g.renew(q, g.now).GetLeaseMillis() > 0, test.granted)
+			g.is.Equal(len(g.dueDeaths()) > 0, !test.granted) // what was decided is proposed until it is committed
+		})
+	}
+}
--- a/lib/control/member_api.go
+++ b/lib/control/member_api.go
@@ -117,8 +117,9 @@
 	return &wire.ReportReply{}, nil
 }
 
-// renew grants a full lease. It returns nil if the member must first be added to
-// the directory or changed in it.
+// renew grants a full lease, or none if the leader has decided to declare the
+// member dead. It returns nil if the member must first be added to the directory
+// or changed in it.
 func (s *state) renew(q *wire.RenewRequest, now time.Time) *wire.RenewReply {
 	if s.isDeclaredDead(q) {
 		return &wire.RenewReply{Dead: true}
@@ -128,6 +129,9 @@
 		return nil
 	}
 	s.leases.recordRenewal(s.machine.state.GetMembers(), member.GetIncarnation(), q.GetDirectoryVersion(), now)
+	if s.leases.isFinal(member.GetIncarnation()) {
+		return &wire.RenewReply{}
+	}
 	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds(), KeepsJobs: !s.machine.jobs.IsEmpty()}
 	if s.machine.state.GetVersion() == q.GetDirectoryVersion() {
 		return reply
--- a/lib/control/state.go
+++ b/lib/control/state.go
@@ -25,7 +25,7 @@
 		return
 	}
 	s.term = term
-	s.leases.grantAll(s.machine.state.GetMembers(), now)
+	s.leases.startTerm(s.machine.state.GetMembers(), now)
 }
 
 // dueCommands returns the commands that the leader should propose now.
@@ -36,6 +36,7 @@
 		return []*wire.Command{limitsCommand(limits)}
 	}
 	if dead := s.leases.expired(members, now); len(dead) > 0 {
+		s.leases.end(dead)
 		return []*wire.Command{declareDeadCommand(dead)}
 	}
 	if views := newPlanner(s.machine.state, s.leases.quarantineCheck(now)).nextViews(shards); len(views) > 0 {
