lib/control: a renewal counts before the change that it announces is committed

What callers could see: nothing reported. A member whose last renewals were lost and whose next one came in time was declared dead if the commit took longer than the rest of its lease.

Evidence: TestRenewalWithChange fails before the change ("[]string([worker01]) != <nil>").

--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -377,3 +377,20 @@
 		})
 	}
 }
+
+// TestRenewalWithChange guards against a member that renews its lease in time and
+// is declared dead while the change that it announces is being committed.
+func TestRenewalWithChange(t *testing.T) {
+	g := newTestState(t)
+	other := newAgent(2, 1)
+	g.startTerm(1, g.now)
+	g.join(newAgent(1, 1))
+	g.join(other)
+	g.settle()
+	g.wait(900, other)
+	leaving := newAgent(1, 1)
+	leaving.Leaving = true
+	g.is.True(g.renew(&wire.RenewRequest{Member: leaving}, g.now) == nil) // the change must be committed first
+	g.wait(200, other)
+	g.is.Equal(g.dueDeaths(), nil)
+}
--- a/lib/control/member_api.go
+++ b/lib/control/member_api.go
@@ -124,14 +124,18 @@
 	if s.isDeclaredDead(q) {
 		return &wire.RenewReply{Dead: true}
 	}
-	member := q.GetMember()
-	if !unchanged(s.machine.member(member.GetIncarnation()), member) {
+	inc := q.GetMember().GetIncarnation()
+	known := s.machine.member(inc)
+	if known == nil {
 		return nil
 	}
-	s.leases.recordRenewal(s.machine.state.GetMembers(), member.GetIncarnation(), q.GetDirectoryVersion(), now)
-	if s.leases.isFinal(member.GetIncarnation()) {
+	s.leases.recordRenewal(s.machine.state.GetMembers(), inc, q.GetDirectoryVersion(), now)
+	if s.leases.isFinal(inc) {
 		return &wire.RenewReply{}
 	}
+	if !unchanged(known, q.GetMember()) {
+		return nil
+	}
 	reply := &wire.RenewReply{LeaseMillis: s.leases.length.Milliseconds(), KeepsJobs: !s.machine.jobs.IsEmpty()}
 	if s.machine.state.GetVersion() == q.GetDirectoryVersion() {
 		return reply
--- a/lib/control/state.go
+++ b/lib/control/state.go
@@ -91,9 +91,6 @@
 // unchanged reports whether what a member announces about itself, other than
 // its version, is already recorded.
 func unchanged(known, announced *wire.Member) bool {
-	if known == nil {
-		return false
-	}
 	announced = proto.CloneOf(announced)
 	announced.Version = known.GetVersion()
 	return proto.Equal(known, announced)
