lib/job: a step that is released takes the records of its tasks

The rule was broken, not the checker wrong.

Cause: a new owner applies stored and reported ends to the tasks that exist. The tasks of a step come into being when it is released; where a run's end released it, they took no records, so an end that was reported at the takeover, while the step still waited for an earlier one, was stored but not counted.

Change: runDone applies the records when it has released a step.

Evidence: TestDurableEndOfLaterStep fails before the change ("10 != 8" starts with ends that are done, "18 != 12" with attempts used up).

--- a/lib/job/active_job.go
+++ b/lib/job/active_job.go
@@ -179,12 +179,13 @@
 }
 
 // taskCompleted counts a completed task of the step. After the step's last
-// task, it releases the steps that depend on it.
-func (job *activeJob) taskCompleted(s *step) {
+// task, it releases the steps that depend on it. It reports whether it released
+// one.
+func (job *activeJob) taskCompleted(s *step) (released bool) {
 	s.unfinished--
 	job.tasksLeft--
 	if s.unfinished > 0 {
-		return
+		return false
 	}
 	for _, next := range job.steps {
 		for _, before := range next.After {
@@ -194,9 +195,11 @@
 			next.unfinishedBefore--
 			if next.unfinishedBefore == 0 {
 				job.releaseStep(next)
+				released = true
 			}
 		}
 	}
+	return released
 }
 
 // waveShare is the part of the capacity of all workers that the tasks of one
--- a/lib/job/durable_test.go
+++ b/lib/job/durable_test.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -168,6 +170,52 @@
 	}
 }
 
+// TestDurableEndOfLaterStep guards against a completed task that runs again
+// after its job was taken over: its end is stored, while its step still waits
+// for an earlier one whose ends were lost.
+func TestDurableEndOfLaterStep(t *testing.T) {
+	tests := []struct {
+		name string
+		how  wire.RunHow
+		// starts counts all runs: those of the first step run again.
+		starts int
+		state  wire.JobState
+	}{
+		{name: "done", how: wire.RunHow_RUN_HOW_DONE, starts: 3 + 2 + 3, state: completed},
+		{name: "attempts used up", how: wire.RunHow_RUN_HOW_FAILED, starts: 3 + 2*3 + 3, state: failedJob},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := newFakeAgent("a", 5000, func(task string, _ uint32) (time.Duration, wire.RunHow) {
+					if strings.HasPrefix(task, "j1.0.1.") {
+						return 50 * time.Millisecond, test.how
+					}
+					return 50 * time.Millisecond, wire.RunHow_RUN_HOW_DONE
+				})
+				s := newFakeStore()
+				first, _, stop := startDurable(t, "e1", s, a)
+				_, _, _ = startDurable(t, "e2", s, a)
+				is.Equal(first.Keep(t.Context(), durableJob("j1")).State, Stored)
+				s.set(func() { s.down = true })
+				time.Sleep(time.Second)
+				stop()
+				a.set(func() {
+					a.ends["e1"] = slices.DeleteFunc(a.ends["e1"], func(end *wire.RunEnd) bool {
+						return strings.HasPrefix(end.GetRun().GetTask(), "j1.0.0.")
+					})
+				})
+				s.set(func() { s.down = false; s.dead["e1"] = true })
+				time.Sleep(5 * time.Second)
+				is.Equal(s.state("j1"), test.state)
+				is.Equal(a.started(), test.starts)
+				is.Equal(a.unacknowledged(), 0)
+			})
+		})
+	}
+}
+
 // TestDurableLeaseExpired expires the lease of an entry: its runs must be
 // stopped, and its tasks must run again once the lease is valid again.
 func TestDurableLeaseExpired(t *testing.T) {
--- a/lib/job/run.go
+++ b/lib/job/run.go
@@ -169,14 +169,18 @@
 	d.logHealthChange(r.link, before)
 	job.endedAt = now
 	d.metrics.ran.RecordDuration(now - r.sentAt)
+	released := false
 	if !job.answered && !r.task.done {
 		r.task.done = true
-		job.taskCompleted(r.task.step)
+		released = job.taskCompleted(r.task.step)
 	}
 	if job.tasksLeft == 0 {
 		d.finish(job, Outcome{State: Complete})
 	}
 	d.removeRun(r)
+	if released && job.durable.isOpen() {
+		d.applyRecords(job) // a former owner may have run tasks of the released steps
+	}
 	d.enqueue(job)
 }
 
