--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -278,3 +278,119 @@
 	is.Equal(restored.Snapshot(), m.Snapshot())
 	is.True(proto.Equal(restored.activeConfig, m.activeConfig))
 }
+
+// TestDecisionBeforeFirstRenewal guards against a new member that is declared
+// dead because a decision falls between its join and its first renewal.
+func TestDecisionBeforeFirstRenewal(t *testing.T) {
+	fresh, other := newAgent(1, 2), newAgent(2, 1)
+	tests := []struct {
+		name string
+		// before is what happens before the join is applied, after what happens
+		// between the join and the decision.
+		before, after func(g *testState)
+	}{
+		{"a new id", func(*testState) {}, func(*testState) {}},
+		{"a new incarnation beside the lease of the former one",
+			func(g *testState) { g.join(newAgent(1, 1)) }, func(*testState) {}},
+		{"a new incarnation after the lease of the former one has expired",
+			func(g *testState) { g.join(newAgent(1, 1)); g.wait(1100, other) }, func(*testState) {}},
+		{"a change of leader", func(*testState) {}, func(g *testState) { g.startTerm(2, g.now) }},
+		{"a change of its registration", func(*testState) {},
+			func(g *testState) {
+				g.apply(joinCommand(&wire.Member{Incarnation: fresh.Incarnation, Role: fresh.Role, Leaving: true}))
+			}},
+		{"an end of isolation", func(*testState) {},
+			func(g *testState) { g.now = g.now.Add(700 * time.Millisecond); g.join(other) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestState(t)
+			g.startTerm(1, g.now)
+			g.join(other)
+			test.before(g)
+			g.apply(joinCommand(fresh))
+			test.after(g)
+			g.is.Equal(g.dueDeaths(), nil)
+			g.wait(900, other)
+			g.is.Equal(g.dueDeaths(), nil) // it has a full lease
+			g.wait(200, other)
+			g.is.Equal(g.dueDeaths(), []string{"worker01"}) // but no more than one
+		})
+	}
+}
+
+// wait lets the given number of milliseconds pass, while one member renews its
+// lease and the leader decides what is due.
+func (g *testState) wait(millis int, member *wire.Member) {
+	for range millis / 100 {
+		g.now = g.now.Add(100 * time.Millisecond)
+		g.leases.recordRenewal(g.machine.state.GetMembers(), member.GetIncarnation(), 0, g.now)
+		g.dueDeaths()
+	}
+}
+
+// dueDeaths returns the ids of the members that the leader would declare dead
+// now.
+func (g *testState) dueDeaths() []string {
+	var ids []string
+	for _, command := range g.dueCommands(&wire.Limits{}, testShards, g.now) {
+		for _, inc := range command.GetDeclare().GetDead() {
+			ids = append(ids, inc.GetId())
+		}
+	}
+	return ids
+}
+
+// TestNoLeaseAfterDeathIsDecided guards against a member that holds a lease after
+// it was declared dead: its renewal arrives once its death is decided, but not
+// yet committed.
+func TestNoLeaseAfterDeathIsDecided(t *testing.T) {
+	late, other := newAgent(1, 1), newAgent(2, 1)
+	q := &wire.RenewRequest{Member: late}
+	tests := []struct {
+		name string
+		// then is what happens between the decision and the renewal.
+		then    func(g *testState)
+		granted bool
+	}{
+		{"not yet committed", func(*testState) {}, false},
+		{"not committed for a while", func(g *testState) { g.wait(2000, other) }, false},
+		{"isolated before it is committed", func(g *testState) {
+			g.now = g.now.Add(2 * time.Second)
+			g.wait(100, other)
+		}, false},
+		{"lost with the leader", func(g *testState) { g.startTerm(2, g.now) }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newTestState(t)
+			g.startTerm(1, g.now)
+			g.join(late)
+			g.join(other)
+			g.settle()
+			g.wait(1000, other)
+			decided := g.dueCommands(&wire.Limits{}, testShards, g.now)
+			g.is.Equal(decided[0].GetDeclare().GetDead()[0].GetId(), "worker01")
+			test.then(g)
+			g.is.Equal(g.renew(q, g.now).GetLeaseMillis() > 0, test.granted)
+			g.is.Equal(len(g.dueDeaths()) > 0, !test.granted) // what was decided is proposed until it is committed
+		})
+	}
+}
+
+// TestRenewalWithChange guards against a member that renews its lease in time and
+// is declared dead while the change that it announces is being committed.
+func TestRenewalWithChange(t *testing.T) {
+	g := newTestState(t)
+	other := newAgent(2, 1)
+	g.startTerm(1, g.now)
+	g.join(newAgent(1, 1))
+	g.join(other)
+	g.settle()
+	g.wait(900, other)
+	leaving := newAgent(1, 1)
+	leaving.Leaving = true
+	g.is.True(g.renew(&wire.RenewRequest{Member: leaving}, g.now) == nil) // the change must be committed first
+	g.wait(200, other)
+	g.is.Equal(g.dueDeaths(), nil)
+}
--- a/lib/control/state.go
+++ b/lib/control/state.go
@@ -25,17 +25,18 @@
 		return
 	}
 	s.term = term
-	s.leases.grantAll(s.machine.state.GetMembers(), now)
+	s.leases.startTerm(s.machine.state.GetMembers(), now)
 }
 
 // dueCommands returns the commands that the leader should propose now.
 func (s *state) dueCommands(limits *wire.Limits, shards uint32, now time.Time) []*wire.Command {
 	members := s.machine.state.GetMembers()
-	s.leases.prune(members)
+	s.leases.reconcile(members, now)
 	if s.machine.state.GetRetentionMillis() != limits.GetRetentionMillis() {
 		return []*wire.Command{limitsCommand(limits)}
 	}
 	if dead := s.leases.expired(members, now); len(dead) > 0 {
+		s.leases.end(dead)
 		return []*wire.Command{declareDeadCommand(dead)}
 	}
 	if views := newPlanner(s.machine.state, s.leases.quarantineCheck(now)).nextViews(shards); len(views) > 0 {
@@ -90,9 +91,6 @@
 // unchanged reports whether what a member announces about itself, other than
 // its version, is already recorded.
 func unchanged(known, announced *wire.Member) bool {
-	if known == nil {
-		return false
-	}
 	announced = proto.CloneOf(announced)
 	announced.Version = known.GetVersion()
 	return proto.Equal(known, announced)
