lib/quorum: a leader that cannot append lets another one be elected

What callers saw (in tests): while a leader's disk takes no more records but still has room for small files, changes stay unanswered for up to 7 s, though all processes run and the other disks have room. Cause: after a failed write Host opened the folder again at once, not after 500 ms as docs/CONTROL.md says. The new node campaigns 500 to 625 ms after its start, the others 500 to 1000 ms after the last heartbeat, so the same host often won the next election and failed at its next append, again and again. Where all writes fail (a disk that is really full) the folder cannot be opened, and another host was elected in time before this change too. Change: Host waits reopenDelay before it opens the folder after any failure, not only after a failed opening.

--- a/lib/quorum/cluster_test.go
+++ b/lib/quorum/cluster_test.go
@@ -28,6 +28,8 @@
 	tearAppends bool
 	// failWrites makes all writes fail.
 	failWrites bool
+	// refusal is what the disk refuses for lack of room.
+	refusal refusal
 	// hang blocks reads and writes until it is closed.
 	hang chan struct{}
 }
@@ -83,8 +85,11 @@
 	if m.failWrites {
 		return errIO
 	}
-	m.files[name] = append([]byte(nil), b...)
-	return nil
+	kept, err := m.refusal.replace()
+	if kept {
+		m.files[name] = append([]byte(nil), b...)
+	}
+	return err
 }
 
 func (m *memoryFolder) Append(name string, b []byte) error {
@@ -98,8 +103,9 @@
 		m.files[name] = append(m.files[name], b[:len(b)/2]...)
 		return errors.New("no space left on device")
 	}
-	m.files[name] = append(m.files[name], b...)
-	return nil
+	kept, err := m.refusal.append(len(b))
+	m.files[name] = append(m.files[name], b[:kept]...)
+	return err
 }
 
 // commandLog is a state machine that records its commands.
--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -14,7 +14,9 @@
 	"skylarklane.example/lib/wire"
 )
 
-// reopenDelay is the delay between attempts to open the data folder.
+// reopenDelay is the delay before the data folder is opened again after a
+// failure. The other hosts elect a leader meanwhile, so that a leader which
+// cannot write does not win the next election too.
 const reopenDelay = 500 * time.Millisecond
 
 // OpenFunc opens a data folder. It may block for as long as the disk does.
@@ -97,6 +99,9 @@
 	h.relay.addKnownAddresses(h.addresses())
 	go h.relay.loop(relayCtx)
 	for {
+		if cause != nil && !waitToReopen(ctx) {
+			return nil, nil
+		}
 		h.resetFolderIfAllowed(ctx, cause)
 		node, err := h.newNode()
 		if err == nil || !isRecoverable(err) {
@@ -106,11 +111,17 @@
 			event.HostFailed.Log(ctx, h.log, slog.Any("error", err))
 		}
 		cause = err
-		select {
-		case <-ctx.Done():
-			return nil, nil
-		case <-time.After(reopenDelay):
-		}
+	}
+}
+
+// waitToReopen waits until the data folder may be opened again. It returns false
+// if ctx ends before.
+func waitToReopen(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(reopenDelay):
+		return true
 	}
 }
 
