lib/quorum: a log that cannot be read is not damaged

What could be seen: a host whose process had no descriptor left, or whose disk answered a read of the log with an error, called the log damaged (KindCorrupt); with a leader in sight it gave up its good folder, vote included, and asked to be admitted anew. Other files' read errors were storage errors already. Found while searching for writes and reads that end in HostStartsOver; a full disk alone does not cause it. Evidence before: TestUnreadableLog: 5 != 4 (KindCorrupt, want KindStorage).

--- a/lib/quorum/store_load.go
+++ b/lib/quorum/store_load.go
@@ -28,8 +28,11 @@
 		}
 	}
 	b, err := s.folder.Read(logFile)
+	if isNotExist(err) {
+		return corruptError(logFile, "the file is missing")
+	}
 	if err != nil {
-		return corruptError(logFile, "the file cannot be read: %v", err)
+		return storageError("read", err)
 	}
 	if err := s.readLog(b); err != nil {
 		return err
--- a/lib/quorum/store_test.go
+++ b/lib/quorum/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,6 +80,24 @@
 	}
 }
 
+// unreadableLog is a data folder whose log cannot be read at the moment.
+type unreadableLog struct{ *memoryFolder }
+
+func (u unreadableLog) Read(name string) ([]byte, error) {
+	if name == logFile {
+		return nil, syscall.EMFILE
+	}
+	return u.memoryFolder.Read(name)
+}
+
+// TestUnreadableLog guards against giving up a good data folder: a log that
+// cannot be read is not damaged.
+func TestUnreadableLog(t *testing.T) {
+	folder, _ := newFilledFolder(t)
+	_, err := openStore(unreadableLog{folder}, "a", false)
+	is.New(t).Equal(kindOf(err), KindStorage)
+}
+
 // TestConflictingEntriesAreReplaced appends an entry at an index that is already
 // taken. The old entries from there on must be dropped.
 func TestConflictingEntriesAreReplaced(t *testing.T) {
