--- a/lib/quorum/folder.go
+++ b/lib/quorum/folder.go
@@ -76,7 +76,7 @@
 func (d *DiskFolder) Replace(name string, b []byte) error {
 	path := filepath.Join(d.path, name)
 	if err := writeSynced(path+".new", b); err != nil {
-		return err
+		return errors.Join(err, removeIfExists(path+".new"))
 	}
 	if f := d.openFiles[name]; f != nil {
 		_ = f.Close()
@@ -126,4 +126,13 @@
 	return errors.Join(err, f.Sync(), f.Close())
 }
 
+// removeIfExists removes an incomplete file, which would take up room on a full
+// disk.
+func removeIfExists(path string) error {
+	if err := os.Remove(path); !isNotExist(err) {
+		return err
+	}
+	return nil
+}
+
 func isNotExist(err error) bool { return errors.Is(err, fs.ErrNotExist) }
--- a/lib/quorum/store_test.go
+++ b/lib/quorum/store_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -155,6 +158,25 @@
 	})
 }
 
+// TestReplaceWithoutRoom guards against a failed write that keeps a full disk
+// full: the part of the new file that was written must not stay.
+func TestReplaceWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	folder, err := OpenFolder(path)
+	is.NoErr(err)
+	defer folder.Close()
+	is.NoErr(folder.Replace("log", []byte("one")))
+	is.NoErr(os.Symlink("/dev/full", filepath.Join(path, "log.new")))
+	is.True(errors.Is(folder.Replace("log", []byte("two")), syscall.ENOSPC))
+	_, err = os.Lstat(filepath.Join(path, "log.new"))
+	is.True(isNotExist(err))
+	is.NoErr(folder.Append("log", []byte("two")))
+	b, err := folder.Read("log")
+	is.NoErr(err)
+	is.Equal(string(b), "onetwo")
+}
+
 func TestDiskFolder(t *testing.T) {
 	is := is.New(t)
 	path := t.TempDir()
