--- a/lib/control/group_test.go
+++ b/lib/control/group_test.go
@@ -27,6 +27,7 @@
 	is        *is.I
 	addresses []string
 	hosts     []*runningHost
+	disks     []*limitedDisk
 }
 
 // runningHost is one control host with its server.
@@ -55,7 +56,9 @@
 			folder = NewDataFolder(t.TempDir())
 			t.Cleanup(folder.Close)
 		}
-		g.hosts = append(g.hosts, g.start(fmt.Sprint("host", i), listener, folder.OpenFunc()))
+		disk := &limitedDisk{openFolder: folder.OpenFunc()}
+		g.disks = append(g.disks, disk)
+		g.hosts = append(g.hosts, g.start(fmt.Sprint("host", i), listener, disk.openFunc()))
 	}
 	t.Cleanup(g.stop)
 	return g
