--- a/lib/quorum/store_test.go
+++ b/lib/quorum/store_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,6 +83,24 @@
 	}
 }
 
+// unreadableLog is a data folder whose log cannot be read at the moment.
+type unreadableLog struct{ *memoryFolder }
+
+func (u unreadableLog) Read(name string) ([]byte, error) {
+	if name == logFile {
+		return nil, syscall.EMFILE
+	}
+	return u.memoryFolder.Read(name)
+}
+
+// TestUnreadableLog guards against giving up a good data folder: a log that
+// cannot be read is not damaged.
+func TestUnreadableLog(t *testing.T) {
+	folder, _ := newFilledFolder(t)
+	_, err := openStore(unreadableLog{folder}, "a", false)
+	is.New(t).Equal(kindOf(err), KindStorage)
+}
+
 // TestConflictingEntriesAreReplaced appends an entry at an index that is already
 // taken. The old entries from there on must be dropped.
 func TestConflictingEntriesAreReplaced(t *testing.T) {
@@ -136,6 +158,25 @@
 	})
 }
 
+// TestReplaceWithoutRoom guards against a failed write that keeps a full disk
+// full: the part of the new file that was written must not stay.
+func TestReplaceWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	folder, err := OpenFolder(path)
+	is.NoErr(err)
+	defer folder.Close()
+	is.NoErr(folder.Replace("log", []byte("one")))
+	is.NoErr(os.Symlink("/dev/full", filepath.Join(path, "log.new")))
+	is.True(errors.Is(folder.Replace("log", []byte("two")), syscall.ENOSPC))
+	_, err = os.Lstat(filepath.Join(path, "log.new"))
+	is.True(isNotExist(err))
+	is.NoErr(folder.Append("log", []byte("two")))
+	b, err := folder.Read("log")
+	is.NoErr(err)
+	is.Equal(string(b), "onetwo")
+}
+
 func TestDiskFolder(t *testing.T) {
 	is := is.New(t)
 	path := t.TempDir()
