backend: refuse an announcement with a port out of range

What callers saw: an announcement with port 0 or 99999 under the id of a good backend server replaced its URL; tasks were sent there and came back as not started until the server announced itself again. A body with more after the document was accepted, and a number of 10,000 digits came back in full.

Cause: validateURL checked only the host; the decoder stopped after the first document; UnmarshalTypeError quotes the whole value.

Evidence (before this commit): registry_test.go:87: 200 != 400 (5 of 10 new rows) registry_test.go:90: not true: w.Body.Len() < 1024 registry_test.go:103: http://127.0.0.1:99999/run != http://127.0.0.1:9000/run

Change: the port is checked, the body ends with the document, the quoted value is short.

--- a/lib/backend/announcement.go
+++ b/lib/backend/announcement.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -16,6 +17,8 @@
 	maxAnnouncementBytes = 1 << 16
 	// maxSlots limits the slots of one backend server.
 	maxSlots = 1024
+	// maxQuoted limits the length of values in error texts, in bytes.
+	maxQuoted = 64
 )
 
 // namePattern matches valid server ids and service names.
@@ -42,7 +45,10 @@
 	decoder := json.NewDecoder(r)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&a); err != nil {
-		return a, errorField(err), eris.Wrap(err, "cannot be decoded")
+		return a, errorField(err), eris.Wrap(withShortValue(err), "cannot be decoded")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return a, "body", eris.New("must end after the JSON document")
 	}
 	field, err = a.validate()
 	return a, field, err
@@ -73,12 +79,25 @@
 	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
 		return eris.New("must have an IP address as host")
 	}
+	if port, err := strconv.ParseUint(u.Port(), 10, 16); u.Port() != "" && (err != nil || port == 0) {
+		return eris.New("must have a port from 1 to 65535")
+	}
 	if u.User != nil || u.Fragment != "" {
 		return eris.New("must not have user information or a fragment")
 	}
 	return nil
 }
 
+// withShortValue shortens the value that a decoding error quotes, which may be
+// as long as the body.
+func withShortValue(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if eris.As(err, &wrongType) {
+		wrongType.Value = wrongType.Value[:min(len(wrongType.Value), maxQuoted)]
+	}
+	return err
+}
+
 // errorField returns the field that a decoding error is about, or "body".
 func errorField(err error) string {
 	var wrongType *json.UnmarshalTypeError
--- a/lib/backend/registry_test.go
+++ b/lib/backend/registry_test.go
@@ -64,6 +64,16 @@
 		{"no url", "b1", `{"service":"s","slots":8}`, "url"},
 		{"other scheme", "b1", `{"service":"s","url":"ftp://127.0.0.1","slots":8}`, "url"},
 		{"host name", "b1", `{"service":"s","url":"http://localhost:1","slots":8}`, "url"},
+		{"port 0", "b1", `{"service":"s","url":"http://127.0.0.1:0/run","slots":8}`, "url"},
+		{"port 65536", "b1", `{"service":"s","url":"http://127.0.0.1:65536/run","slots":8}`, "url"},
+		{"port 99999", "b1", `{"service":"s","url":"https://[::1]:99999","slots":8}`, "url"},
+		{"nested", "b1", strings.Repeat("[", 60_000), "body"},
+		{"too long", "b1", `{"service":"` + strings.Repeat("s", 100_000) + `"}`, "body"},
+		{"slots of 1e400", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":1e400}`, "slots"},
+		{"slots of 1e19", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":10000000000000000000}`, "slots"},
+		{"slots of 10,000 digits", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":` + strings.Repeat("9", 10_000) + `}`, "slots"},
+		{"trailing bytes", "b1", validBody + "}", "body"},
+		{"trailing document", "b1", validBody + validBody, "body"},
 		{"no slots", "b1", `{"service":"s","url":"http://127.0.0.1:1"}`, "slots"},
 		{"too many slots", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":1025}`, "slots"},
 		{"slots as a string", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":"8"}`, "slots"},
@@ -77,10 +87,22 @@
 			is.Equal(w.Code, http.StatusBadRequest)
 			is.True(strings.Contains(w.Body.String(), `"field":"`+test.field+`"`))
 			is.Equal(slots.count(test.id), 0)
+			is.True(w.Body.Len() < 1024)
 		})
 	}
 }
 
+// TestOddAnnouncementKeepsServer guards against an announcement that can't be
+// used and takes the slots of a registered server.
+func TestOddAnnouncementKeepsServer(t *testing.T) {
+	is := is.New(t)
+	reg, slots := newRegistry()
+	call(reg, http.MethodPut, "b1", validBody)
+	call(reg, http.MethodPut, "b1", `{"service":"sizing","url":"http://127.0.0.1:99999/run","slots":8}`)
+	is.Equal(slots.count("b1"), 8)
+	is.Equal(reg.URL("b1"), "http://127.0.0.1:9000/run")
+}
+
 func TestLeavingServerGetsNoSlots(t *testing.T) {
 	tests := []struct {
 		name  string
