control: a host that shuts down answers the requests in flight

Callers saw: an operator's request at a control host was cut off when the host got SIGTERM. Evidence: TestControlShutdownAnswersOperator, before: control_shutdown_test.go:36: status 0 not true: status == http.StatusOK || status == http.StatusServiceUnavailable // answered Change: Control.Serve, used by the platform's role and by the product, shuts the server down first, bounded by the grace period, and leaves the group after that.

--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -61,9 +61,5 @@
 	defer cancel()
 	r.control = c
 	go r.run(ctx)
-	if err := c.Run(ctx); err != nil {
-		server.Close()
-		return err
-	}
-	return server.Shutdown(context.WithoutCancel(ctx))
+	return c.Serve(ctx, server, process.ShutdownTimeout)
 }
