platform: follow the settings until the process has ended

Callers saw: nothing yet; an entry or agent that still serves while it shuts down kept asking control hosts that were gone, and a control host refused new seeds. Cause: the watch of the settings, the control host's reloads and the context of SetSeeds ended with SIGTERM.

--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -57,9 +57,9 @@
 	}
 	server := process.New(security.Listener(listener), security.Guard(c.Handler()), log)
 	ready(server.Address(), "")
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	r.control = c
-	go r.run(ctx)
+	go r.run(running)
 	return c.Serve(ctx, server, process.ShutdownTimeout)
 }
