Entries with many agents ask idle ones less often

Cause: each of 67 agents replies to the open Watch of each of 17 entries whenever its worker's room changes, at most every 10 ms.

Change: a link without runs of the entry pauses 2 ms for each known agent (160 at most) before its next Watch; the beginning of a run ends the pause, so that ends are learned as before. An agent gets launches until its next answer is 70 ms overdue, as before (150 ms with the wait of 80).

--- a/lib/job/fake_agent_test.go
+++ b/lib/job/fake_agent_test.go
@@ -90,6 +90,7 @@
 	accepting     bool
 	cleared       bool
 	version       uint64
+	watches       int
 	sessions      map[string]time.Time
 	runs          map[fakeKey]*fakeRun
 	barred        map[fakeKey]bool
@@ -180,6 +181,7 @@
 // Watch implements wire.Runner.
 func (a *fakeAgent) Watch(ctx context.Context, q *wire.WatchRequest) (*wire.WatchReply, error) {
 	a.mu.Lock()
+	a.watches++
 	a.expireSessions()
 	entry, now := q.GetEntry().GetId(), time.Now()
 	known := q.GetAgent().GetNumber() == a.number
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -14,9 +14,9 @@
 	// silentAfter is the time without an answer from which an agent counts as
 	// silent.
 	silentAfter = 400 * time.Millisecond
-	// staleAfter is the age of an agent's last answer from which it gets no
-	// launches.
-	staleAfter = 150 * time.Millisecond
+	// answerSlack is how much later than expected an agent's next answer may
+	// come before the agent gets no more launches.
+	answerSlack = 70 * time.Millisecond
 	// sessionMargin is how long before the end of its session an agent gets no
 	// more launches.
 	sessionMargin = 100 * time.Millisecond
@@ -83,6 +83,8 @@
 	pausedUntil time.Duration
 
 	runs map[runKey]*run
+	// runBegan wakes the loop of Watches when a run has begun.
+	runBegan chan struct{}
 	// orphans are runs under earlier incarnations of the agent.
 	orphans        []*run
 	haltSender     haltSender
@@ -99,6 +101,11 @@
 // silentAfter.
 func (l *link) isSilent(now time.Duration) bool { return now-l.answeredAt > silentAfter }
 
+// isStale reports whether the agent's next answer is overdue.
+func (l *link) isStale(now time.Duration) bool {
+	return now-l.answeredAt > max(watchWait, l.d.idlePause())+answerSlack
+}
+
 // agentMillis returns a lower bound of the agent's clock at now.
 func (l *link) agentMillis(now time.Duration) int64 {
 	return l.clockMillis + (now - l.clockAt).Milliseconds()
@@ -109,7 +116,7 @@
 func (l *link) mayLaunch(now time.Duration) bool {
 	return l.hasState() && !l.unlisted && !l.member.GetLeaving() &&
 		l.reported.GetAccepting() &&
-		now-l.answeredAt <= staleAfter &&
+		!l.isStale(now) &&
 		l.agentMillis(now+sessionMargin) < l.sessionMillis &&
 		now >= l.pausedUntil &&
 		!l.haltSender.overdue(now, launchHaltTimeout)
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -62,7 +62,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
-	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, answeredAt: d.clock.Now() - silentAfter - 1, silenceLogged: true}
+	l := &link{d: d, ctx: ctx, cancel: cancel, runs: map[runKey]*run{}, runBegan: make(chan struct{}, 1), answeredAt: d.clock.Now() - silentAfter - 1, silenceLogged: true}
 	l.haltSender.l = l
 	l.takeoverSender.l = l
 	l.setMember(member)
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -11,6 +11,13 @@
 const (
 	// watchWait is how long a Watch waits at the agent for a change.
 	watchWait = 80 * time.Millisecond
+	// idlePausePerAgent is the pause between two Watches to an agent without runs
+	// of this entry, for each agent. It bounds the Watches of an entry with many
+	// agents, each of which replies whenever the free capacity changes.
+	idlePausePerAgent = 2 * time.Millisecond
+	// maxIdlePause bounds that pause, so that sessions are renewed well before
+	// their end.
+	maxIdlePause = 160 * time.Millisecond
 	// watchTimeout bounds a Watch as a whole.
 	watchTimeout = watchWait + 120*time.Millisecond
 	// shortestBackoff and longestBackoff bound the wait after a failed call.
@@ -23,10 +30,48 @@
 	for l.ctx.Err() == nil {
 		if !l.watch(l.ctx) {
 			sleep(l.ctx, backoff())
+			continue
 		}
+		l.pause()
 	}
 }
 
+// pause waits before the next Watch if the agent has no runs of this entry. It
+// ends early when a run begins, whose end the next Watch may bring.
+func (l *link) pause() {
+	wait := l.d.idlePauseOf(l)
+	if wait == 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-l.ctx.Done():
+	case <-l.runBegan:
+	case <-timer.C:
+	}
+}
+
+// idlePauseOf returns the pause before the next Watch to an agent, and forgets
+// the runs that have begun before.
+func (d *Dispatcher) idlePauseOf(l *link) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(l.runs)+len(l.orphans) > 0 {
+		return 0
+	}
+	select {
+	case <-l.runBegan:
+	default:
+	}
+	return d.idlePause()
+}
+
+// idlePause returns the pause between two Watches to an agent without runs.
+func (d *Dispatcher) idlePause() time.Duration {
+	return min(time.Duration(len(d.links))*idlePausePerAgent, maxIdlePause)
+}
+
 // watch makes one Watch call and processes its reply. It reports whether the
 // listed agent answered.
 func (l *link) watch(ctx context.Context) bool {
@@ -55,6 +100,9 @@
 		WaitMillis:       watchWait.Milliseconds(),
 		RenewUntilMillis: l.renewUntil(now),
 	}
+	if len(l.runs) == 0 {
+		q.WaitMillis = max(watchWait-d.idlePause(), 0).Milliseconds()
+	}
 	if l.failing || l.isSilent(now) {
 		q.WaitMillis = 0
 	}
