lease: Shutdown waits until the ends of runs are acknowledged

What callers saw: a job whose run completed while its agent shut down ran again, or was answered as abandoned, because its entry never learned of the end.

Cause: Manager.Shutdown returned at the first tick (20 ms) without active runs. platform/cmd_agent.go then closes the server, and with it the watch calls that report the ends. An entry that was between two watch calls, or whose reply was not sent within the tick, took the run for lost.

Change: Shutdown also waits until no live session has unacknowledged ends. An entry sends its next watch as soon as it has received ends, and that watch acknowledges them, so this is a round trip. An entry that is gone is waited for until its session ends, and nothing is waited for longer than ctx, which is the grace period. The error of a shutdown that was cut off counts both.

Ruled out: a fixed delay before the server closes, which is too short for a caller that is late and too long for all others; server.Shutdown instead of Close, which waits for the watch calls open and not for the next one.

--- a/lib/lease/incarnation_test.go
+++ b/lib/lease/incarnation_test.go
@@ -259,3 +259,24 @@
 		d.NoErr(<-done)
 	})
 }
+
+// TestShutdownWaitsForEndsToBeAcknowledged guards against a shutdown that cuts
+// off the report of a completed run, so that its entry takes the run for lost.
+func TestShutdownWaitsForEndsToBeAcknowledged(t *testing.T) {
+	withDriver(t, func(d *driver) {
+		d.watchFor(entryOne, 50)
+		d.mustAccept(entryOne, 1, "a")
+		d.sleep(20)
+		returned := make(chan error, 1)
+		go func() { returned <- d.manager.Shutdown(context.Background()) }()
+		d.watch(entryOne, 0)
+		d.w.finish("a", 1, Done)
+		d.sleep(100) // the entry's next watch is on its way
+		d.Equal(len(returned), 0)
+		d.Equal(endsOf(d.watch(entryOne, 0)), map[runKey]string{{"a", 1}: "DONE "})
+		d.watch(entryOne, 1)
+		d.sleep(50)
+		d.Equal(len(returned), 1)
+		d.NoErr(<-returned)
+	})
+}
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -112,8 +112,9 @@
 	m.refreshState()
 }
 
-// Shutdown refuses new runs, reports that to entries, and returns once all
-// runs have ended. Run must not end before Shutdown has returned.
+// Shutdown refuses new runs, reports that to entries, and returns once all runs
+// have ended and the entries with a session have acknowledged the ends. Run must
+// not end before Shutdown has returned.
 func (m *Manager) Shutdown(ctx context.Context) error {
 	m.mu.Lock()
 	m.shuttingDown = true
@@ -122,22 +123,29 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
-		left := m.runCount()
-		if left == 0 {
+		runs, ends := m.unfinished()
+		if runs+ends == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return &Error{Op: "shutdown", Kind: KindShutdown, Err: eris.Wrapf(ctx.Err(), "%d runs have not ended", left)}
+			return &Error{Op: "shutdown", Kind: KindShutdown, Err: eris.Wrapf(ctx.Err(), "%d runs have not ended, %d ends are not acknowledged", runs, ends)}
 		case <-tick.C:
 		}
 	}
 }
 
-func (m *Manager) runCount() int {
+// unfinished returns the number of runs that have not ended, and of ends that an
+// entry with a session has not acknowledged.
+func (m *Manager) unfinished() (runs, ends int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.runCountLocked()
+	for _, s := range m.sessions {
+		if s.alive {
+			ends += len(s.ends)
+		}
+	}
+	return m.runCountLocked(), ends
 }
 
 func (m *Manager) runCountLocked() int {
