lib/quorum: a removed host that cannot make its folder new says so

What could be seen: nothing. A host that the group had removed, and whose disk was full as it made its folder new, tried again later without a line in the log. Change: hostFailed is logged with the error; what the host does is the same.

--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -132,9 +132,11 @@
 	if !errors.As(cause, &e) || e.Kind != KindReplaced && (e.Kind != KindCorrupt || !h.groupHasLeader(ctx)) {
 		return
 	}
-	if resetFolder(h.folder, h.cfg.ID) == nil {
-		event.HostStartsOver.Log(ctx, h.log, slog.String("host", h.cfg.ID))
+	if err := resetFolder(h.folder, h.cfg.ID); err != nil {
+		event.HostFailed.Log(ctx, h.log, slog.Any("error", err))
+		return
 	}
+	event.HostStartsOver.Log(ctx, h.log, slog.String("host", h.cfg.ID))
 }
 
 // newNode opens the data folder if necessary and creates a node on it.
