process: a response that begins while the process closes asks to close its connection

Callers saw: nothing known; a caller whose request was in flight when the entry got SIGTERM kept its connection, and could send the next request just when the entry closed its idle connections. After: that test, TestDrainingEntryStillServes and the tests of lib/process and lib/entry pass.

--- a/lib/entry/entry.go
+++ b/lib/entry/entry.go
@@ -64,7 +64,7 @@
 	mux.Handle("/metrics", e.metrics.Handler())
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/readyz", e.ready)
-	return process.CloseConnections(e.gate, mux)
+	return process.CloseConnections(e.gate.Closed, mux)
 }
 
 func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
