platform/test: TestSoak overlaps signals, restarts, freezes and changes

Cause: no test sent a second signal, or SIGHUP, to a process that was starting or shutting down, and the callers of the tests closed their connection after each job.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -70,6 +70,7 @@
 FIRST ?= 1
 soak: build
 	go test -count=1 -timeout 120m -run TestRandomised skylarklane.example/test -seeds $(SEEDS) -firstSeed $(FIRST)
+	go test -count=1 -timeout 120m -run TestSoak skylarklane.example/platform/test -seeds $(SEEDS) -firstSeed $(FIRST)
 
 # generate: regenerate lib/wire from the schemas.
 generate:
