process: a daemon whose output nobody reads any more goes on

Cause: the Go runtime ends a process that gets EPIPE on descriptor 1 or 2, unless the program catches or ignores SIGPIPE. The log drops lines that it cannot write, but this comes first. The command-line tools keep the default, so `skylarklane ... | head` ends as usual. Ruled out: catching it instead, as SIGPIPE comes with each write to a closed connection too, and a line about it would cause the next one. A log writer that spins or blocks (read, not run): it drops the lines of a failing write, waits for the next ones, and at most once a second for a report. Nothing else of the daemons writes to descriptors 1 and 2 after the start, except net/http's lines on failing connections, whose errors the standard logger drops. The daemons start no programs that could inherit the ignored signal. Left as it is: SIGQUIT ends a daemon with a stack dump, as an operator who sends it asks for that.

--- a/lib/process/signals.go
+++ b/lib/process/signals.go
@@ -34,7 +34,9 @@
 	running   atomic.Bool
 }
 
-// CatchSignals catches SIGTERM, SIGINT and SIGHUP. A process calls it once.
+// CatchSignals catches SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE, with which
+// the runtime would end the process once nobody reads its output. A process calls
+// it once.
 func CatchSignals() *Signals {
 	s := &Signals{
 		terminate: make(chan os.Signal, maxPendingSignals),
@@ -44,6 +46,7 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.hangUp, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
