quorum: seeds that change while a host reads its data folder are used

Operators would see: a control host that starts or recovers on a slow disk goes on with the old seeds, though `seedsSet` is logged; if these are gone, it doesn't find its group. Cause: Host.newNode copied cfg before New read the folder and set h.node after it; SetSeeds in between changed h.cfg and the relay, found no node and returned nil. This also ends a data race: groupHasLeader and resetFolderIfAllowed read cfg without the lock (read, not provoked). A host that started without seeds no longer takes on seeds with its second node; the first ignored them already, and it has no address for others to reach. After: the test passes with -race; the tests of ./lib/quorum pass (one run each, load average 85).

--- a/lib/quorum/host.go
+++ b/lib/quorum/host.go
@@ -35,8 +35,10 @@
 	// folder is used only by Run.
 	folder Folder
 
-	mu             sync.Mutex
-	node           *Node
+	mu   sync.Mutex
+	node *Node
+	// seeds replace those of cfg.
+	seeds          []string
 	knownAddresses []string
 }
 
@@ -45,7 +47,7 @@
 	relayCfg := cfg
 	relayCfg.Bootstrap = false
 	return &Host{
-		cfg: cfg, transport: transport, open: open, machine: machine, log: log,
+		cfg: cfg, transport: transport, open: open, machine: machine, log: log, seeds: cfg.Seeds,
 		relay: NewRelay(relayCfg, transport, log),
 	}
 }
@@ -136,19 +138,17 @@
 		}
 		h.folder = folder
 	}
-	h.mu.Lock()
-	cfg := h.cfg
-	knownAddresses := h.knownAddresses
-	h.mu.Unlock()
-	node, err := New(cfg, h.transport, h.folder, h.machine, h.log)
+	node, err := New(h.cfg, h.transport, h.folder, h.machine, h.log)
 	if err != nil {
 		return nil, err
 	}
-	node.knownAddresses = slices.Clone(knownAddresses)
 	node.logEvent(event.FolderRead, slog.Int64("tookMillis", time.Since(began).Milliseconds()), slog.Uint64("term", node.store.vote.GetTerm()),
 		slog.Int("entries", len(node.store.entries)), slog.Uint64("applied", node.applied), slog.Uint64("group", node.store.identity.GetGroup()))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	// Seeds may have been set while the folder was read. From here on SetSeeds
+	// passes them to the node.
+	node.seeds, node.knownAddresses = h.seeds, slices.Clone(h.knownAddresses)
 	h.node = node
 	return node, nil
 }
@@ -170,7 +170,7 @@
 func (h *Host) addresses() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	all := slices.Concat(h.cfg.Seeds, h.knownAddresses)
+	all := slices.Concat(h.seeds, h.knownAddresses)
 	return slices.DeleteFunc(all, func(address string) bool { return address == "" || address == h.cfg.Address })
 }
 
@@ -180,7 +180,7 @@
 		return nil
 	}
 	h.mu.Lock()
-	h.cfg.Seeds = slices.Clone(seeds)
+	h.seeds = slices.Clone(seeds)
 	node := h.node
 	h.mu.Unlock()
 	if err := h.relay.SetSeeds(ctx, seeds); err != nil || node == nil {
