Entries no longer launch at the same few workers

Callers of the grown batch site saw jobs start late although three fifths of the workers' room was free. Each refusal costs an entry a call and the job a round trip.

Cause: of the workers with room an entry took the fastest, and of those within a tenth of it the one with most room. Seventeen entries with the same reports chose the same worker; each core that came free at a fast one was told to all and launched at by all. The tasks of a job were spread over as many workers as possible, so that a job of eight needed eight launches and eight sound workers.

Evidence, the new tests on the old code: candidate_test.go:72: 0 != 1 --- FAIL: TestChoose/beside_the_same_job candidate_test.go:93: not true: math.Abs(...) < 0.2 --- FAIL: TestShareOfRoom and, with the lot alone: candidate_test.go:76: 1 != 0 --- FAIL: TestChoose/slower,_well_in_time

Change: a worker is eligible where the task ends within a tenth of the earliest end, or within three quarters of the time left to its objective. Among these one that just got a task of the same job is taken, otherwise one drawn by lot with a chance in proportion to its room.

--- a/lib/job/place.go
+++ b/lib/job/place.go
@@ -62,6 +62,9 @@
 		launches = p.addRun(launches, pool, i, job, t)
 		return true
 	})
+	for i := range pool.candidates {
+		pool.candidates[i].HasJob = false
+	}
 	for _, call := range launches {
 		p.d.calls.Go(call.run)
 	}
@@ -114,14 +117,17 @@
 
 // requirements returns the requirements of a step's tasks.
 func (p *placementPass) requirements(job *activeJob, s *step) placement.Requirements {
-	return placement.Requirements{
+	r := placement.Requirements{
 		Need:         s.need,
 		Label:        s.Label,
 		Rack:         s.Rack,
 		RemoteFactor: p.d.cfg.RemoteFactor,
 		Run:          job.kindStats.expected(s.estimate),
-		TimeLeft:     job.dueAt() - p.now,
 	}
+	if due := job.dueAt(); due != never {
+		r.TimeLeft = due - p.now
+	}
+	return r
 }
 
 // isFull reports whether, earlier in this pass, no worker had capacity for a
--- a/lib/placement/candidate.go
+++ b/lib/placement/candidate.go
@@ -13,14 +13,15 @@
 	// counts as slow.
 	slowFactor = 0.7
 	// similarEndFactor is how many times as long as at the fastest worker with
-	// room a task may take if it is placed at a worker with more room.
+	// room a task may take at the worker where it is placed.
 	similarEndFactor = 1.1
+	// comfortableShare is the share of the time left until the objective within
+	// which a task may also end at a slower worker, so that fast workers are left
+	// to the tasks that need them.
+	comfortableShare = 0.75
 	// crossDataCentreDelay is added to the run time at a worker in another data
 	// centre.
 	crossDataCentreDelay = 3 * time.Millisecond
-	// jitterWeight is the most that jitter adds to a worker's share of free
-	// capacity.
-	jitterWeight = 0.1
 )
 
 // Candidate is the view that an entry has of a worker that it leases.
@@ -33,17 +34,28 @@
 	Factor float64
 	// SameDataCentre is set if the worker is in the entry's data centre.
 	SameDataCentre bool
-	// Jitter, from 0 to 1, keeps entries that see the same free capacities from
-	// choosing the same worker.
+	// Jitter is a random number from 0 to 1. It keeps entries that see the same
+	// free capacities from choosing the same worker.
 	Jitter float64
+	// HasJob is set if another task of the same job was just placed on the
+	// worker.
+	HasJob bool
 }
 
 // WithRun returns the candidate after a task was placed on it.
 func (c Candidate) WithRun(need capacity.Vector) Candidate {
 	c.Free = c.Free.Minus(need)
+	c.HasJob = true
 	return c
 }
 
+// lot returns the worker's lot among those with room for the task. The highest
+// lot wins, and a worker wins with a chance in proportion to how many such
+// tasks it has room for.
+func (c Candidate) lot(need capacity.Vector) float64 {
+	return math.Pow(c.Jitter, need.Share(c.Free))
+}
+
 // Requirements holds the requirements of a task.
 type Requirements struct {
 	Need capacity.Vector
@@ -55,7 +67,8 @@
 	RemoteFactor float64
 	// Run is the expected run time at a worker with factor 1.
 	Run time.Duration
-	// TimeLeft is the time until the job's objective; negative if it has passed.
+	// TimeLeft is the time until the job's objective; negative if it has passed, 0
+	// if there is none.
 	TimeLeft time.Duration
 }
 
@@ -75,9 +88,10 @@
 	Unplaceable
 )
 
-// Choose returns the index of the worker for a task: of those that are about as
-// fast as the fastest one with room, the one with the most room. Workers for whose
-// index skip returns true are ignored.
+// Choose returns the index of the worker for a task, one of those with room where
+// it ends about as early as at the fastest one, or well before its objective: one that has a task of the same job, as
+// each further worker costs a launch and may fail, otherwise one drawn by lot.
+// Workers for whose index skip returns true are ignored.
 func Choose(candidates []Candidate, r Requirements, skip func(int) bool) (int, Decision) {
 	earliest, earliestNow := r.earliestEnds(candidates, skip)
 	if earliest == math.MaxInt64 {
@@ -89,7 +103,7 @@
 	if float64(earliestNow)*slowFactor > float64(earliest) && earliestNow > r.TimeLeft && earliest <= r.TimeLeft {
 		return 0, WaitForFaster
 	}
-	return r.mostFree(candidates, skip, earliestNow), Chosen
+	return r.draw(candidates, skip, earliestNow), Chosen
 }
 
 // Suits reports whether the task could run at the worker if it were empty.
@@ -114,17 +128,20 @@
 	return earliest, earliestNow
 }
 
-// mostFree returns the worker with the most room among those where the task is
-// expected to end at about earliestNow.
-func (r Requirements) mostFree(candidates []Candidate, skip func(int) bool, earliestNow time.Duration) int {
-	chosen, most := 0, math.Inf(-1)
+// draw returns the worker to take among those where the task is expected to end
+// at about earliestNow or well before its objective.
+func (r Requirements) draw(candidates []Candidate, skip func(int) bool, earliestNow time.Duration) int {
+	chosen, highest := 0, math.Inf(-1)
+	latest := max(scale(earliestNow, similarEndFactor), scale(r.TimeLeft, comfortableShare))
 	for i, c := range candidates {
-		if skip(i) || !r.Suits(c) || !r.Need.Fits(c.Free) || float64(r.end(c)) > similarEndFactor*float64(earliestNow) {
+		if skip(i) || !r.Suits(c) || !r.Need.Fits(c.Free) || r.end(c) > latest {
 			continue
 		}
-		room := 1 - c.Capacity.Minus(c.Free).Plus(r.Need).Share(c.Capacity) + jitterWeight*c.Jitter
-		if room > most {
-			chosen, most = i, room
+		if c.HasJob {
+			return i
+		}
+		if lot := c.lot(r.Need); lot > highest {
+			chosen, highest = i, lot
 		}
 	}
 	return chosen
