process: Server.Shutdown answers requests that arrive on open connections

What callers saw: a connection that closed without an answer ("unexpected EOF") while a server shut down, though the server had read the request whole. A connection that had never carried a request held the shutdown for 5 s.

Cause: http.Server.Shutdown closes idle connections at once, also where a request has just arrived. While it waits for other requests in flight, net/http returns from conn.serve after it has read a request, without calling the handler. Connections without a first request stay open for 5 s meanwhile.

Change: Server.Shutdown closes the listener and lets the handlers serve on until no request is in flight. Every answer whose headers are sent from then on says `Connection: close` (HTTP/2: GOAWAY), so that each connection carries one request more at most. Connections without a request are kept for 300 ms; the wait ends sooner if none is left. Only then http.Server.Shutdown is called, which finds nothing but idle connections; connections never used are closed before it. The caller's context bounds all of it.

The windows that remain, as a server can't tell its callers that it is about to close a quiet connection: - a request on a quiet connection that arrives after 300 ms and after the last request in flight, or whose header is not yet whole then; - a new connection that the kernel has set up and the process has not accepted when the listener closes.

Ruled out: SetKeepAlivesEnabled(false), which closes the idle connections at once; the header at the start of a request, which misses the requests already in flight; accepting connections during the wait, which has no end under load.

The wrapped response hides net/http's own type from http.MaxBytesReader: after a body over the limit, net/http itself decides by what is left of the body (256 KiB) whether to close the connection.

Changes in tests: TestRequestDuringShutdown also checks that both answers say that the connection closes.

--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,16 +16,27 @@
 // flight.
 const ShutdownTimeout = 60 * time.Second
 
+const (
+	// lingerTime bounds how long a graceful shutdown waits for requests on
+	// connections that carry none.
+	lingerTime = 300 * time.Millisecond
+	// lingerInterval is how often the connections are checked meanwhile.
+	lingerInterval = 5 * time.Millisecond
+)
+
 // readHeaderTimeout bounds how long a client may take to send its headers.
 const readHeaderTimeout = 5 * time.Second
 
 // Server is an HTTP server on one address. It speaks HTTP/1.1 and unencrypted
 // HTTP/2.
 type Server struct {
-	listener net.Listener
-	server   *http.Server
-	log      *slog.Logger
-	done     chan struct{}
+	listener    net.Listener
+	server      *http.Server
+	connections *connections
+	log         *slog.Logger
+	// closing is set once a graceful shutdown has begun.
+	closing atomic.Bool
+	done    chan struct{}
 }
 
 // Listen listens on address, an IP and a port. For port 0 the kernel chooses a
@@ -50,11 +62,12 @@
 // stops.
 func New(listener net.Listener, h http.Handler, log *slog.Logger) *Server {
 	s := &Server{
-		listener: listener,
-		server:   &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols()},
-		log:      log,
-		done:     make(chan struct{}),
+		listener:    listener,
+		connections: newConnections(),
+		log:         log,
+		done:        make(chan struct{}),
 	}
+	s.server = &http.Server{Handler: s.handler(h), ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols(), ConnState: s.connections.set}
 	go s.run()
 	return s
 }
@@ -64,17 +77,43 @@
 	return s.listener.Addr().String()
 }
 
-// Shutdown stops accepting connections and waits for requests in flight.
+// Shutdown stops accepting connections and waits for requests in flight. Requests
+// that arrive meanwhile on open connections are answered, and each answer asks
+// the caller to close its connection. Connections without a request are kept for
+// lingerTime.
 func (s *Server) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ShutdownTimeout)
 	defer cancel()
+	s.closing.Store(true)
+	_ = s.listener.Close()
+	<-s.done
+	s.linger(ctx)
+	s.connections.closeUnused()
 	if err := s.server.Shutdown(ctx); err != nil {
 		return &Error{Op: "shutdown", Kind: KindTimeout, Err: eris.Wrap(err, "requests still in flight")}
 	}
-	<-s.done
 	return nil
 }
 
+// linger returns once no requests are in flight and no connection is left that
+// may still carry one, or ctx ends.
+func (s *Server) linger(ctx context.Context) {
+	until := time.Now().Add(lingerTime)
+	tick := time.NewTicker(lingerInterval)
+	defer tick.Stop()
+	for {
+		busy, quiet := s.connections.count()
+		if busy == 0 && (quiet == 0 || time.Now().After(until)) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 // Close closes all connections immediately.
 func (s *Server) Close() {
 	_ = s.server.Close()
@@ -84,11 +123,19 @@
 func (s *Server) run() {
 	defer close(s.done)
 	err := s.server.Serve(s.listener)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if !errors.Is(err, http.ErrServerClosed) && !s.closing.Load() {
 		s.log.Error("The HTTP server stopped unexpectedly.", "error", err)
 	}
 }
 
+func (s *Server) handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := &response{w, &s.closing}
+		defer answer.setClose()
+		h.ServeHTTP(answer, r)
+	})
+}
+
 // Protocols returns the HTTP versions used between processes.
 func Protocols() *http.Protocols {
 	var p http.Protocols
--- /dev/null
+++ b/lib/process/server_test.go
@@ -0,0 +1,82 @@
+package process
+
+import (
+	"bufio"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestRequestDuringShutdown guards against a request that is read whole and then
+// gets no answer, because it arrives on an open connection while the server
+// waits for the requests in flight.
+func TestRequestDuringShutdown(t *testing.T) {
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	inFlight, release := make(chan struct{}), make(chan struct{})
+	server := New(listener, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			close(inFlight)
+			<-release
+		}
+	}), slog.New(slog.DiscardHandler))
+	second, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	first, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	_, err = first.Write([]byte("GET /first HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	<-inFlight
+	down := make(chan error, 1)
+	go func() { down <- server.Shutdown(t.Context()) }()
+	for {
+		other, err := net.Dial("tcp", server.Address())
+		if err != nil {
+			break // the shutdown has begun
+		}
+		other.Close()
+		time.Sleep(time.Millisecond)
+	}
+	_, err = second.Write([]byte("GET /second HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	is.NoErr(second.SetReadDeadline(time.Now().Add(10 * time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(second), nil)
+	close(release)
+	is.NoErr(<-down)
+	is.NoErr(err) // the second request is answered
+	response.Body.Close()
+	is.True(response.Close) // and says that the connection closes
+	response, err = http.ReadResponse(bufio.NewReader(first), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.True(response.Close) // so does the one that was in flight
+}
+
+// TestShutdownWithQuietConnections guards against a shutdown that callers hold up
+// by connections on which they never send again.
+func TestShutdownWithQuietConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	server := New(listener, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	unused, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	defer unused.Close()
+	idle, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	defer idle.Close()
+	_, err = idle.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.True(!response.Close)
+	began := time.Now()
+	is.NoErr(server.Shutdown(t.Context()))
+	is.True(time.Since(began) < 3*time.Second)
+}
