process: SIGPIPE doesn't end a daemon whose log has lost its reader

Callers would see: every connection of a daemon cut off when the reader of its standard output ends, as its next line raises SIGPIPE. Evidence: TestLogReaderEnds failed for all six programs: signal_test.go:159: err: signal: broken pipe Change: process.Signals catches SIGPIPE; the write to the log then fails, and the line is lost. After: TestLogReaderEnds, TestSignalsInEachPhase and TestSignalsWhileEntryShutsDown pass.

--- a/lib/process/signals.go
+++ b/lib/process/signals.go
@@ -34,7 +34,7 @@
 	running   atomic.Bool
 }
 
-// CatchSignals catches SIGTERM, SIGINT and SIGHUP. A process calls it once.
+// CatchSignals catches SIGTERM, SIGINT, SIGHUP and SIGPIPE. A process calls it once.
 func CatchSignals() *Signals {
 	s := &Signals{
 		terminate: make(chan os.Signal, maxPendingSignals),
@@ -44,6 +44,8 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.hangUp, syscall.SIGHUP)
+	// A caught SIGPIPE becomes an error of the write to the log.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	return s
 }
 
