process: one writer that asks callers to close their connections

CloseConnections serves both uses now: while an entry drains, and while any server shuts down; HTTP/2 clients are asked too.

--- a/lib/process/close_connections.go
+++ b/lib/process/close_connections.go
@@ -3,14 +3,13 @@
 import "net/http"
 
 // CloseConnections returns a handler that, while closing reports true, asks
-// HTTP/1 clients to close their connection after each response, so that no
-// request is sent on a connection to a stopped server.
+// clients to close their connection after each response, so that no request is
+// sent on a connection to a stopped server.
 func CloseConnections(closing func() bool, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoMajor == 1 {
-			w = &closingWriter{ResponseWriter: w, closing: closing}
-		}
-		h.ServeHTTP(w, r)
+		closer := &closingWriter{ResponseWriter: w, closing: closing}
+		defer closer.begin()
+		h.ServeHTTP(closer, r)
 	})
 }
 
--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -67,7 +67,7 @@
 		log:         log,
 		done:        make(chan struct{}),
 	}
-	s.server = &http.Server{Handler: s.handler(h), ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols(), ConnState: s.connections.set}
+	s.server = &http.Server{Handler: CloseConnections(s.closing.Load, h), ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols(), ConnState: s.connections.set}
 	go s.run()
 	return s
 }
@@ -128,14 +128,6 @@
 	}
 }
 
-func (s *Server) handler(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		answer := &response{w, &s.closing}
-		defer answer.setClose()
-		h.ServeHTTP(answer, r)
-	})
-}
-
 // Protocols returns the HTTP versions used between processes.
 func Protocols() *http.Protocols {
 	var p http.Protocols
