--- a/GNUmakefile
+++ b/GNUmakefile
@@ -48,7 +48,8 @@
 # process: run the end-to-end tests with real processes.
 process: build
 	go test -count=1 -timeout 8m $(skip) skylarklane.example/test/...
-	go test -count=1 -timeout 5m $(skip) skylarklane.example/platform/test
+	go test -count=1 -timeout 8m $(skip) skylarklane.example/platform/test
+	go test -count=1 -timeout 5m $(skip) -run '^TestSoak$$' skylarklane.example/platform/test -seeds 4 -firstSeed $$(date +%s)
 
 # bench: measure every target and report the missed ones (about five minutes).
 bench: build
