--- a/lib/placement/candidate.go
+++ b/lib/placement/candidate.go
@@ -88,10 +88,11 @@
 	Unplaceable
 )
 
-// Choose returns the index of the worker for a task, one of those with room where
-// it ends about as early as at the fastest one, or well before its objective: one that has a task of the same job, as
-// each further worker costs a launch and may fail, otherwise one drawn by lot.
-// Workers for whose index skip returns true are ignored.
+// Choose returns the index of the worker for a task. It is one of those with room
+// where the task ends about as early as at the fastest one, or well before its
+// objective. A worker that has a task of the same job comes first, as each further
+// worker costs a launch and may fail; otherwise one is drawn by lot. Workers for
+// whose index skip returns true are ignored.
 func Choose(candidates []Candidate, r Requirements, skip func(int) bool) (int, Decision) {
 	earliest, earliestNow := r.earliestEnds(candidates, skip)
 	if earliest == math.MaxInt64 {
