--- a/lib/quorum/full_disks_test.go
+++ b/lib/quorum/full_disks_test.go
@@ -16,7 +16,7 @@
 
 var (
 	firstSeed = flag.Uint64("firstSeed", 1, "first seed of the random schedules")
-	seeds     = flag.Uint64("seeds", 4, "number of random schedules")
+	seeds     = flag.Uint64("seeds", 8, "number of random schedules")
 )
 
 // ackLimit is the time within which a command must be acknowledged while at
