lib/job: a resubmitted job gets an answer when its entry ends

Callers would see no answer: a job sent again waits for the runs of its earlier attempt, and Dispatcher.Shutdown knew the open jobs only. Evidence before: TestShutdownAnswersResubmission, dispatcher_test.go:346: 0 != 1. Change: what waits is refused as not run once Shutdown no longer waits. After: lib/job passes with -race.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -46,14 +46,20 @@
 		}
 		select {
 		case <-earlier.settled:
+		case <-d.stopped:
+			return nil, d.refuse(j, reasonShuttingDown)
 		case <-ctx.Done():
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			return nil, d.refuseJob(j, reasonCallerDisconnected)
+			return nil, d.refuse(j, reasonCallerDisconnected)
 		}
 	}
 }
 
+func (d *Dispatcher) refuse(j Job, reason string) Outcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refuseJob(j, reason)
+}
+
 // tryAdmit accepts a job unless an earlier one with its ID still has runs.
 func (d *Dispatcher) tryAdmit(j Job) (job, earlier *activeJob, refused Outcome) {
 	d.mu.Lock()
--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -85,6 +85,8 @@
 	knownWorkers map[string][]knownWorker
 	lastAttempts map[string]lastAttempt
 	shuttingDown bool
+	// stopped is closed once Shutdown no longer waits.
+	stopped chan struct{}
 	// durableJobs stores the progress of durable jobs; nil if none are
 	// accepted.
 	durableJobs *DurableManager
@@ -123,6 +125,7 @@
 		metrics:      newMetrics(scope),
 		ctx:          ctx,
 		cancel:       cancel,
+		stopped:      make(chan struct{}),
 		links:        map[string]*link{},
 		jobs:         map[string]*activeJob{},
 		kinds:        map[string]*kindStats{},
@@ -164,8 +167,9 @@
 }
 
 // Shutdown refuses new jobs and waits for open best-effort jobs. Those still
-// open when ctx ends are stopped.
+// open when ctx ends are stopped. A dispatcher is shut down once.
 func (d *Dispatcher) Shutdown(ctx context.Context) {
+	defer close(d.stopped)
 	for _, job := range d.stopAccepting() {
 		select {
 		case <-job.done:
--- a/lib/job/dispatcher_test.go
+++ b/lib/job/dispatcher_test.go
@@ -327,6 +327,27 @@
 	})
 }
 
+// TestShutdownAnswersResubmission guards against a resubmitted job that gets no
+// answer when its entry ends, because it waits for the runs of the earlier attempt.
+func TestShutdownAnswersResubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newFakeAgent("a", 1000, doneAfter(time.Minute))
+		d := newTestDispatcher(t, a)
+		submit(t.Context(), d, newJob("j1", 1))
+		time.Sleep(50 * time.Millisecond)
+		a.block("to Watch", "to Halt")
+		again := submit(t.Context(), d, newJob("j1", 1))
+		time.Sleep(50 * time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		d.Shutdown(ctx)
+		synctest.Wait()
+		is.Equal(len(again), 1)
+		is.Equal((<-again).State, NotRun)
+	})
+}
+
 func TestRestartedAgentGetsRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
