--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -215,11 +215,7 @@
 // start writes the settings file and starts the role with the command of the
 // deploy file.
 func (p *process) start() error {
-	b, err := json.MarshalIndent(p.settings, "", "  ")
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(p.file, b, 0o600); err != nil {
+	if err := p.writeSettings(); err != nil {
 		return err
 	}
 	p.settings["bootstrap"] = false
@@ -245,6 +241,15 @@
 	close(exited)
 }
 
+// writeSettings writes the settings file.
+func (p *process) writeSettings() error {
+	b, err := json.MarshalIndent(p.settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.file, b, 0o600)
+}
+
 func (p *process) signal(s syscall.Signal) {
 	if p.command != nil && p.command.Process != nil {
 		_ = p.command.Process.Signal(s)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -34,9 +34,10 @@
 
 // cases maps the names of the cases to their scripts.
 var cases = map[string]func(ctx context.Context, c *cluster, trouble bool) (verdict, error){
-	"cancel": playCancel,
-	"config": playConfig,
-	"gang":   playGang,
+	"cancel":   playCancel,
+	"config":   playConfig,
+	"gang":     playGang,
+	"settings": playSettings,
 }
 
 func main() {
