--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -38,6 +38,7 @@
 	"config":   playConfig,
 	"gang":     playGang,
 	"settings": playSettings,
+	"resend":   playResend,
 }
 
 func main() {
