--- a/review/harness/config.go
+++ b/review/harness/config.go
@@ -10,6 +10,9 @@
 	"skylarklane.example/platform/standin"
 )
 
+// badConfigGap is the pause between two invalid configurations (gap_s).
+const badConfigGap = time.Second
+
 // unreadable is a configuration of which a part is missing or can't be read.
 type unreadable struct {
 	what string
@@ -51,6 +54,7 @@
 			if status == http.StatusOK {
 				v.addf("CONFIG: version %d, of which %s, is acknowledged", version, bad.what)
 			}
+			time.Sleep(badConfigGap)
 		}
 	}
 	time.Sleep(configApply + time.Second)
