platform: a configuration that can't be read in full is refused

Cause: the document was decoded into a struct without limits and most fields of a service, by encoding/json, which leaves what is missing or null at its zero. A missing section was thus an empty one. Ruled out: a body cut on its way (refused while it is read); the control group (it served what it was given); service.Check, which must allow that the last service goes.

--- /dev/null
+++ b/lib/document/document.go
@@ -0,0 +1,123 @@
+// Package document decodes JSON documents from other processes. A document that
+// can be read only in part is refused as a whole.
+package document
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/rotisserie/eris"
+)
+
+// maxErrorBytes limits the text of an error, which quotes names of the document.
+const maxErrorBytes = 256
+
+// Value is a part of a document that is kept as it is. It may be null.
+type Value = jsontext.Value
+
+// Kind classifies the errors of this package.
+type Kind int
+
+// The kinds of error.
+const (
+	// KindSyntax marks bytes that aren't one JSON document, or a repeated name.
+	KindSyntax Kind = iota + 1
+	// KindValue marks a value of the wrong type, or null.
+	KindValue
+	// KindUnknown marks a field that v has not.
+	KindUnknown
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	// Field is the path of the field that is wrong, such as tasks[1].payload. It is
+	// empty if the whole document is.
+	Field string
+	Err   error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var errNull = errors.New("null is not a value")
+
+// rejectNull refuses a null for any field but a Value.
+var rejectNull = json.WithUnmarshalers(json.UnmarshalFromFunc(func(d *jsontext.Decoder, v any) error {
+	if _, raw := v.(*Value); !raw && d.PeekKind() == jsontext.KindNull {
+		return errNull
+	}
+	return errors.ErrUnsupported // left to the default
+}))
+
+// Decode decodes the only document in b. Names must match in case, and none may be
+// repeated; a null is refused; text must be valid Unicode. Unknown fields are
+// ignored. A missing field is left as it is, so that required ones should be
+// pointers.
+func Decode(b []byte, v any) error { return decode(b, v, rejectNull) }
+
+// DecodeKnown is Decode, and refuses unknown fields.
+func DecodeKnown(b []byte, v any) error {
+	return decode(b, v, rejectNull, json.RejectUnknownMembers(true))
+}
+
+// DecodeSparse is Decode, but a field that is null counts as missing.
+func DecodeSparse(b []byte, v any) error { return decode(b, v) }
+
+func decode(b []byte, v any, options ...json.Options) error {
+	d := jsontext.NewDecoder(bytes.NewBuffer(b))
+	if err := json.UnmarshalDecode(d, v, options...); err != nil {
+		return newError(err)
+	}
+	if _, err := d.ReadToken(); !errors.Is(err, io.EOF) {
+		return &Error{Op: "decode", Kind: KindSyntax, Err: eris.New("cannot decode the document: unexpected data after it")}
+	}
+	return nil
+}
+
+func newError(err error) *Error {
+	e := &Error{Op: "decode", Kind: KindSyntax, Err: eris.New(shorten("cannot decode the document: " + err.Error()))}
+	var semantic *json.SemanticError
+	if !errors.As(err, &semantic) {
+		return e
+	}
+	e.Kind = KindValue
+	if errors.Is(err, json.ErrUnknownName) {
+		e.Kind = KindUnknown
+	}
+	e.Field = shorten(path(semantic.JSONPointer))
+	return e
+}
+
+// path returns the path of a field in the form tasks[1].payload.
+func path(pointer jsontext.Pointer) string {
+	var b strings.Builder
+	for token := range pointer.Tokens() {
+		_, err := strconv.ParseUint(token, 10, 64)
+		switch {
+		case err == nil:
+			b.WriteString("[" + token + "]")
+		case b.Len() > 0:
+			b.WriteString("." + token)
+		default:
+			b.WriteString(token)
+		}
+	}
+	return b.String()
+}
+
+func shorten(s string) string {
+	if len(s) <= maxErrorBytes {
+		return s
+	}
+	return strings.ToValidUTF8(s[:maxErrorBytes], "")
+}
