--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,9 @@
 // Listen listens on address, an IP and a port. For port 0 the kernel chooses a
 // free port.
 func Listen(address string) (net.Listener, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, &Error{Op: "listen", Kind: KindAddress, Err: eris.Wrapf(err, "cannot listen at %q", address)}
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "listen", Kind: KindAddress, Err: eris.Wrap(err, "cannot listen")}
--- a/lib/process/server_test.go
+++ b/lib/process/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -80,3 +81,14 @@
 	is.NoErr(server.Shutdown(t.Context()))
 	is.True(time.Since(began) < 3*time.Second)
 }
+
+// TestListenWithoutAddress guards against a process that listens at a port of the
+// kernel's choice on all addresses, because its settings name none.
+func TestListenWithoutAddress(t *testing.T) {
+	for _, address := range []string{"", ":7000", "localhost:7000", "127.0.0.1"} {
+		_, err := Listen(address)
+		var e *Error
+		is.New(t).True(errors.As(err, &e))
+		is.New(t).Equal(e.Kind, KindAddress)
+	}
+}
