lib/entry, lib/backend: a repeated, null or misspelt field is refused

Callers of an entry had the last of two lists of tasks run, and a backend server's second slots counted. Change: both decode with lib/document. Payloads are passed on as they are: null and repeated names inside of them are accepted (DecodeOpen). Refusals name a field inside a list by its place, tasks[1].payload.

--- a/lib/backend/announcement.go
+++ b/lib/backend/announcement.go
@@ -1,15 +1,15 @@
 package backend
 
 import (
-	"encoding/json"
 	"io"
 	"net/netip"
 	"net/url"
 	"regexp"
 	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"skylarklane.example/lib/document"
 )
 
 const (
@@ -17,8 +17,6 @@
 	maxAnnouncementBytes = 1 << 16
 	// maxSlots limits the slots of one backend server.
 	maxSlots = 1024
-	// maxQuoted limits the length of values in error texts, in bytes.
-	maxQuoted = 64
 )
 
 // namePattern matches valid server ids and service names.
@@ -42,13 +40,12 @@
 	if !namePattern.MatchString(id) {
 		return a, "id", eris.New("must have 1 to 128 letters, digits, dots, dashes or underscores")
 	}
-	decoder := json.NewDecoder(r)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&a); err != nil {
-		return a, errorField(err), eris.Wrap(withShortValue(err), "cannot be decoded")
+	b, err := io.ReadAll(r)
+	if err == nil {
+		err = document.DecodeKnown(b, &a)
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return a, "body", eris.New("must end after the JSON document")
+	if err != nil {
+		return a, errorField(err), err
 	}
 	field, err = a.validate()
 	return a, field, err
@@ -88,24 +85,11 @@
 	return nil
 }
 
-// withShortValue shortens the value that a decoding error quotes, which may be
-// as long as the body.
-func withShortValue(err error) error {
-	var wrongType *json.UnmarshalTypeError
-	if eris.As(err, &wrongType) {
-		wrongType.Value = wrongType.Value[:min(len(wrongType.Value), maxQuoted)]
-	}
-	return err
-}
-
 // errorField returns the field that a decoding error is about, or "body".
 func errorField(err error) string {
-	var wrongType *json.UnmarshalTypeError
-	if eris.As(err, &wrongType) && wrongType.Field != "" {
-		return wrongType.Field
-	}
-	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return strings.Trim(name, `"`)
+	var e *document.Error
+	if eris.As(err, &e) && e.Field != "" {
+		return e.Field
 	}
 	return "body"
 }
--- a/lib/backend/registry_test.go
+++ b/lib/backend/registry_test.go
@@ -77,6 +77,10 @@
 		{"no slots", "b1", `{"service":"s","url":"http://127.0.0.1:1"}`, "slots"},
 		{"too many slots", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":1025}`, "slots"},
 		{"slots as a string", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":"8"}`, "slots"},
+		{"slots null", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":null}`, "slots"},
+		{"leaving null", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":1,"leaving":null}`, "leaving"},
+		{"repeated slots", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":1,"slots":2}`, "body"},
+		{"slots in another case", "b1", `{"service":"s","url":"http://127.0.0.1:1","Slots":1}`, "Slots"},
 		{"unknown field", "b1", `{"service":"s","url":"http://127.0.0.1:1","slots":8,"slot":1}`, "slot"},
 	}
 	for _, test := range tests {
--- a/lib/document/document.go
+++ b/lib/document/document.go
@@ -20,6 +20,21 @@
 // Value is a part of a document that is kept as it is. It may be null.
 type Value = jsontext.Value
 
+// Once is a field that is refused if it is repeated.
+type Once[T any] struct {
+	Value T
+	set   bool
+}
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (o *Once[T]) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	if o.set {
+		return errRepeated
+	}
+	o.set = true
+	return json.UnmarshalDecode(d, &o.Value)
+}
+
 // Kind classifies the errors of this package.
 type Kind int
 
@@ -49,14 +64,21 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-var errNull = errors.New("null is not a value")
+var (
+	errNull     = errors.New("null is not a value")
+	errRepeated = errors.New("the field is repeated")
+)
 
 // rejectNull refuses a null for any field but a Value.
 var rejectNull = json.WithUnmarshalers(json.UnmarshalFromFunc(func(d *jsontext.Decoder, v any) error {
-	if _, raw := v.(*Value); !raw && d.PeekKind() == jsontext.KindNull {
+	switch v.(type) {
+	case *Value, *Once[Value]:
+		return errors.ErrUnsupported // left to the default
+	}
+	if d.PeekKind() == jsontext.KindNull {
 		return errNull
 	}
-	return errors.ErrUnsupported // left to the default
+	return errors.ErrUnsupported
 }))
 
 // Decode decodes the only document in b. Names must match in case, and none may be
@@ -70,6 +92,12 @@
 	return decode(b, v, rejectNull, json.RejectUnknownMembers(true))
 }
 
+// DecodeOpen is DecodeKnown, but a name may be repeated inside a Value, which is not
+// for this process to judge. Fields of v should be of type Once.
+func DecodeOpen(b []byte, v any) error {
+	return decode(b, v, rejectNull, json.RejectUnknownMembers(true), jsontext.AllowDuplicateNames(true))
+}
+
 // DecodeSparse is Decode, but a field that is null counts as missing.
 func DecodeSparse(b []byte, v any) error { return decode(b, v) }
 
--- a/lib/document/document_test.go
+++ b/lib/document/document_test.go
@@ -79,3 +79,35 @@
 	is.Equal(e.Kind, KindUnknown)
 	is.Equal(e.Field, "parts[0].cuont")
 }
+
+// TestDecodeOpen guards against a part that is refused for what is inside of it, and
+// a field of which the last value only is read.
+func TestDecodeOpen(t *testing.T) {
+	type item struct {
+		Any Once[Value] `json:"any"`
+	}
+	type list struct {
+		Items Once[[]item] `json:"items"`
+	}
+	tests := []struct{ document, field string }{
+		{`{"items":[{"any":{"a":1,"a":2}},{"any":null}]}`, ""},
+		{`{"items":[{"any":1}],"items":[{"any":1}]}`, "items"},
+		{`{"items":[{"any":1},{"any":1,"any":2}]}`, "items[1].any"},
+		{`{"items":null}`, "items"},
+		{`{"items":[null]}`, "items[0]"},
+		{`{"items":[{"other":1}]}`, "items[0].other"},
+	}
+	for _, test := range tests {
+		is := is.New(t)
+		l := list{}
+		err := DecodeOpen([]byte(test.document), &l)
+		if test.field == "" {
+			is.NoErr(err)
+			is.Equal(string(l.Items.Value[0].Any.Value), `{"a":1,"a":2}`)
+			continue
+		}
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Field, test.field)
+	}
+}
--- a/lib/entry/submit.go
+++ b/lib/entry/submit.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"crypto/sha256"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +9,7 @@
 	"strings"
 	"time"
 
+	"skylarklane.example/lib/document"
 	"skylarklane.example/lib/wire"
 )
 
@@ -34,14 +33,14 @@
 
 // submissionBody is the request body of a submission.
 type submissionBody struct {
-	Kind           string           `json:"kind"`
-	DeadlineMillis int64            `json:"deadlineMillis"`
-	Tasks          []submissionTask `json:"tasks"`
+	Kind           document.Once[string]           `json:"kind"`
+	DeadlineMillis document.Once[int64]            `json:"deadlineMillis"`
+	Tasks          document.Once[[]submissionTask] `json:"tasks"`
 }
 
 // submissionTask is one task of a submission.
 type submissionTask struct {
-	Payload json.RawMessage `json:"payload"`
+	Payload document.Once[document.Value] `json:"payload"`
 }
 
 func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
@@ -103,9 +102,9 @@
 	if refused != nil {
 		return nil, refused
 	}
-	s.spec = &wire.JobSpec{Service: r.PathValue("service"), Kind: b.Kind, Team: team, DeadlineMillis: b.DeadlineMillis}
-	for _, task := range b.Tasks {
-		s.spec.Payloads = append(s.spec.Payloads, task.Payload)
+	s.spec = &wire.JobSpec{Service: r.PathValue("service"), Kind: b.Kind.Value, Team: team, DeadlineMillis: b.DeadlineMillis.Value}
+	for _, task := range b.Tasks.Value {
+		s.spec.Payloads = append(s.spec.Payloads, task.Payload.Value)
 	}
 	digest := sha256.Sum256(append([]byte(s.spec.GetService()+"\n"+team+"\n"), body...))
 	s.digest = digest[:]
@@ -114,24 +113,19 @@
 
 func parseBody(body []byte) (*submissionBody, *refusal) {
 	var b submissionBody
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&b); err != nil {
+	if err := document.DecodeOpen(body, &b); err != nil {
 		return nil, badBody(err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, badField("", "badBody", "unexpected data after the JSON object")
-	}
 	switch {
-	case b.Kind == "" || len(b.Kind) > maxNameLength:
+	case b.Kind.Value == "" || len(b.Kind.Value) > maxNameLength:
 		return nil, badField("kind", "badField", "the kind must have 1 to 128 characters")
-	case b.DeadlineMillis < 0 || b.DeadlineMillis > maxDeadline.Milliseconds():
+	case b.DeadlineMillis.Value < 0 || b.DeadlineMillis.Value > maxDeadline.Milliseconds():
 		return nil, badField("deadlineMillis", "badField", fmt.Sprintf("the deadline must be 0 to %d ms", maxDeadline.Milliseconds()))
-	case len(b.Tasks) == 0:
+	case len(b.Tasks.Value) == 0:
 		return nil, badField("tasks", "badField", "a job must have at least one task")
 	}
-	for n, task := range b.Tasks {
-		if len(task.Payload) == 0 {
+	for n, task := range b.Tasks.Value {
+		if len(task.Payload.Value) == 0 {
 			return nil, badField(fmt.Sprintf("tasks[%d].payload", n), "badField", "a task must have a payload")
 		}
 	}
@@ -141,12 +135,9 @@
 // badBody returns the refusal for a decoding error. It names the invalid field if
 // the decoder reports one.
 func badBody(err error) *refusal {
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return badField(wrongType.Field, "badField", fmt.Sprintf("unexpected JSON type %s", wrongType.Value))
-	}
-	if _, name, found := strings.Cut(err.Error(), "unknown field "); found {
-		return badField(strings.Trim(name, `"`), "badField", "unknown field")
+	var e *document.Error
+	if errors.As(err, &e) && e.Field != "" {
+		return badField(e.Field, "badField", e.Error())
 	}
 	return badField("", "badBody", err.Error())
 }
--- a/lib/entry/submit_test.go
+++ b/lib/entry/submit_test.go
@@ -32,6 +32,14 @@
 		{"unknown field", "k", "", "", `{"kind":"finCheck","task":[]}`, "task"},
 		{"no JSON", "k", "", "", `{`, ""},
 		{"two objects", "k", "", "", good + good, ""},
+		{"repeated tasks", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":1}],"tasks":[{"payload":2}]}`, "tasks"},
+		{"repeated payload", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":1,"payload":2}]}`, "tasks[0].payload"},
+		{"deadline null", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":1}],"deadlineMillis":null}`, "deadlineMillis"},
+		{"task null", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":1},null]}`, "tasks[1]"},
+		{"kind in another case", "k", "", "", `{"Kind":"finCheck","tasks":[{"payload":1}]}`, "Kind"},
+		{"kind of unreadable bytes", "k", "", "", "{\"kind\":\"finCheck\xff\",\"tasks\":[{\"payload\":1}]}", ""},
+		{"payload null", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":null}]}`, "none"},
+		{"names repeated in a payload", "k", "", "", `{"kind":"finCheck","tasks":[{"payload":{"a":1,"a":2}}]}`, "none"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
