lib/service: a service file that gives nothing a value is refused

An operator who published a folder in which one skylarklane.yaml was empty, commented out or cut off after `services:` had that file's services removed. Cause: a missing or valueless list was an empty one. Change: services or teams must have a value; `services: []` is one. Before: 3 of 4 new cases of TestCollectErrors fail. After: all pass, and a file with `services: []` beside others is collected.

--- a/lib/service/collect.go
+++ b/lib/service/collect.go
@@ -64,6 +64,9 @@
 		return nil, nil, err
 	}
 	c := &checker{locate: lines.At}
+	if !lines.Has("services") && !lines.Has("teams") {
+		c.fail("", "the file has neither services nor teams; write services: [] if there are none")
+	}
 	c.file(file.GetServices(), file.GetTeams())
 	return file, lines, c.err
 }
--- a/lib/service/collect_test.go
+++ b/lib/service/collect_test.go
@@ -25,7 +25,8 @@
 	all, err := Collect(testFS(
 		"a/skylarklane.yaml", sizingFile,
 		"b/c/skylarklane.yaml", strings.Replace(sizingFile, "sizing", "airflow", 1)+"teams:\n- name: suva\n",
-		"b/other.yaml", "not: ours"))
+		"b/other.yaml", "not: ours",
+		"c/skylarklane.yaml", "services: []\n"))
 	is.NoErr(err)
 	is.Equal(len(all.GetServices()), 2)
 	is.Equal(len(all.GetTeams()), 1)
@@ -45,6 +46,10 @@
 		{"bad name", testFS("skylarklane.yaml", strings.Replace(sizingFile, "sizing", "a/b", 1)), `skylarklane.yaml:2: the name of service "a/b" has the character '/'`},
 		{"out of range", testFS("skylarklane.yaml", sizingFile+"    deadlineMillis: 86400001\n"), `skylarklane.yaml:6: deadlineMillis is 86400001; it must be from 0 to 86400000 milliseconds`},
 		{"no kinds", testFS("skylarklane.yaml", "services:\n- name: a\n"), `skylarklane.yaml:2: the number of kinds is 0; it must be from 1 to 10000 kinds`},
+		{"empty file beside another", testFS("a/skylarklane.yaml", sizingFile, "b/skylarklane.yaml", ""), `b/skylarklane.yaml: the file has neither services nor teams`},
+		{"comment only", testFS("skylarklane.yaml", "# services:\n"), `skylarklane.yaml: the file has neither services nor teams`},
+		{"cut off after the first word", testFS("skylarklane.yaml", sizingFile[:len("services:\n")]), `skylarklane.yaml: the file has neither services nor teams`},
+		{"cut off after a service's name", testFS("skylarklane.yaml", sizingFile[:len("services:\n- name: sizing\n")]), `the number of kinds is 0`},
 		{"unknown field", testFS("skylarklane.yaml", sizingFile+"    deadline: 3\n"), `skylarklane.yaml:6: unknown field "deadline"; did you mean`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/lib/settings/lines.go
+++ b/lib/settings/lines.go
@@ -24,6 +24,12 @@
 	return l.name
 }
 
+// Has reports whether the file has a value for the field, also an empty one.
+func (l *Lines) Has(path string) bool {
+	_, found := l.byPath[path]
+	return found
+}
+
 func joinPath(path, field string) string {
 	if path == "" {
 		return field
--- a/lib/settings/reader.go
+++ b/lib/settings/reader.go
@@ -53,6 +53,9 @@
 			return r.syntaxError(key, "%s is set twice", at)
 		}
 		seen[at] = true
+		if value.Tag == tagNull {
+			continue
+		}
 		r.lines.byPath[at] = key.Line
 		if err := r.field(at, value, m, field, depth); err != nil {
 			return err
@@ -63,8 +66,6 @@
 
 func (r *reader) field(path string, node *yaml.Node, m protoreflect.Message, field protoreflect.FieldDescriptor, depth int) error {
 	switch {
-	case node.Tag == tagNull:
-		return nil
 	case field.IsMap():
 		return r.syntaxError(node, "%s can't be set in a file", path)
 	case field.IsList():
