lib/lease, lib/job, platform: a changed retransmit time is kept by running processes

Change: SetTiming of the lease manager and the dispatcher. Shorter times apply at once, longer ones at agents after 3 s; entries never shorten the wait for a lost agent's runs. The grace period of a shutdown is that of the newest settings. Before: TestRetransmitTimeChanges: TWICE at both kills. After: it passes, as do TestEntryKilled and the tests of lib/lease, lib/job, lib/control and platform.

--- a/lib/control/main.go
+++ b/lib/control/main.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"runtime/debug"
+	"time"
 
 	"skylarklane.example/lib/membership"
 	"skylarklane.example/lib/metric"
@@ -61,5 +62,5 @@
 	defer stop()
 	r.control = c
 	go r.run(running)
-	return c.Serve(ctx, server, process.ShutdownTimeout)
+	return c.Serve(ctx, server, func() time.Duration { return process.ShutdownTimeout })
 }
--- a/lib/control/serve.go
+++ b/lib/control/serve.go
@@ -10,8 +10,8 @@
 
 // Serve takes part in the group until ctx ends, and then shuts the server down.
 // The host stays in the group until the requests in flight are answered, at most
-// for timeout.
-func (c *Control) Serve(ctx context.Context, server *process.Server, timeout time.Duration) error {
+// for the timeout that applies then.
+func (c *Control) Serve(ctx context.Context, server *process.Server, timeout func() time.Duration) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ended := make(chan error, 1)
@@ -22,7 +22,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	bounded, cancel := context.WithTimeout(running, timeout)
+	bounded, cancel := context.WithTimeout(running, timeout())
 	defer cancel()
 	err := server.Shutdown(bounded)
 	stop()
--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -44,7 +44,7 @@
 	RemoteFactor float64
 	// Session is how long a session at an agent lasts after the call that
 	// renewed it. An agent runs an entry's tasks only while the entry has a
-	// session there. It must match the agents' setting.
+	// session there. It must match the agents' setting. SetTiming changes it.
 	Session time.Duration
 	// RunGrace is how long after the end of their session runs may continue if
 	// their agent has failed too.
@@ -104,6 +104,15 @@
 	noStartsBefore time.Duration
 }
 
+// SetTiming changes Session and RunGrace. A shorter grace is not used, as agents may
+// still have the longer one.
+func (d *Dispatcher) SetTiming(session, runGrace time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Session = session
+	d.cfg.RunGrace = max(d.cfg.RunGrace, runGrace)
+}
+
 // New returns a dispatcher for the entry self. agents returns the members
 // that are agents and is polled; client makes the calls to them. Nothing is
 // started before Run is called.
--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -10,6 +10,7 @@
 // that a process resumed after a suspension does not act under a session that
 // expired meanwhile.
 func (m *Manager) expireSessions() {
+	m.applyRaise()
 	now := m.cfg.Clock.Now()
 	for _, s := range m.sessions {
 		if s.alive && now >= s.until {
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -44,6 +44,12 @@
 	// have taken over.
 	epochs         map[string]jobEpoch
 	publishedState publishedState
+	// lease is how far ahead a worker's lease is extended unless that is longer
+	// than the worker grants.
+	lease time.Duration
+	// raised holds the times that apply from raiseAt on; 0 means that they do.
+	raised  Timing
+	raiseAt time.Duration
 }
 
 // New returns a manager without a worker. dial creates the client of an
@@ -51,6 +57,7 @@
 func New(cfg Config, dial func(Announcement) Worker, log *slog.Logger, scope tally.Scope) *Manager {
 	m := &Manager{
 		cfg:            cfg.withDefaults(),
+		lease:          orDefault(cfg.Lease, DefaultLease),
 		dial:           dial,
 		log:            log,
 		metrics:        newMetrics(scope),
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wait := min(time.Duration(q.GetWaitMillis())*time.Millisecond, m.cfg.Session/2)
+	wait := min(time.Duration(q.GetWaitMillis())*time.Millisecond, m.maxWatch())
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
