test: TestEntryKilled kills the entry before its jobs can end, also on a busy machine

Cause: its tasks take 800 ms, and the test has to see their starts and kill the entry in that time. Shown: with a pause of 900 ms before the kill the test fails in the same way. Change: 2,400 ms a task. Each check is as before, none is left out.

--- a/test/crash_test.go
+++ b/test/crash_test.go
@@ -14,8 +14,8 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newSystem(t, size{controls: 1, entries: 3, agents: 4})
-	resubmitted := newJob("sent-again", "finCheck", 12, 800)
-	polledOnly := newJob("only-polled", "labelRelease", 12, 800)
+	resubmitted := newJob("sent-again", "finCheck", 12, 2400)
+	polledOnly := newJob("only-polled", "labelRelease", 12, 2400)
 	lostAnswers := []<-chan answer{s.sendAsync(0, resubmitted), s.sendAsync(0, polledOnly)}
 	s.awaitStarts("sent-again", 4)
 	s.awaitStarts("only-polled", 4)
