--- a/review/harness2/jobs.go
+++ b/review/harness2/jobs.go
@@ -41,12 +41,10 @@
 	live map[string]map[*boot]liveRun
 	// starts counts the runs that have started.
 	starts int
-	// cancelledAt is when the cancelling of a job was acknowledged.
-	cancelledAt map[string]time.Time
 }
 
 func newJobs(rec *record) *jobs {
-	return &jobs{rec: rec, byID: map[string]job{}, live: map[string]map[*boot]liveRun{}, cancelledAt: map[string]time.Time{}}
+	return &jobs{rec: rec, byID: map[string]job{}, live: map[string]map[*boot]liveRun{}}
 }
 
 // newJob returns a submitted job of n tasks.
@@ -82,9 +80,6 @@
 	for other, r := range j.live[task] {
 		j.rec.breakf("TWICE", "%s run %d starts at %s while run %d is at work at %s since %d ms", task, run, b.name, r.run, other.name, r.begun.Sub(j.rec.began).Milliseconds())
 	}
-	if at, ok := j.cancelledAt[one.ID]; ok && time.Since(at) > cancelMS*time.Millisecond {
-		j.rec.breakf("UNASKED", "%s starts %s %d ms after the cancelling of its job was acknowledged", b.name, task, time.Since(at).Milliseconds())
-	}
 	if j.live[task] == nil {
 		j.live[task] = map[*boot]liveRun{}
 	}
@@ -98,19 +93,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.live[task], b)
-	if at, ok := j.cancelledAt[jobOf(task)]; ok && time.Since(at) > (cancelMS+stopMS)*time.Millisecond {
-		j.rec.breakf("UNASKED", "%s has run %s until %d ms after the cancelling of its job was acknowledged", b.name, task, time.Since(at).Milliseconds())
-	}
 	j.rec.logf("%s ends %s run %d: %s", b.name, task, run, how)
 }
 
-// cancel records that the cancelling of a job was acknowledged.
-func (j *jobs) cancel(id string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.cancelledAt[id] = time.Now()
-}
-
 // find returns the job and the step of a task named ID.K.STEP.INDEX.
 func (j *jobs) find(task string) (job, step, bool) {
 	parts := strings.Split(task, ".")
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -16,7 +16,6 @@
 var cases = map[string]func(c *cluster, trouble bool) error{
 	"reborn-kind": rebornKind,
 	"suspended":   suspended,
-	"cancelled":   cancelled,
 }
 
 func main() {
--- a/review/harness2/worker.go
+++ b/review/harness2/worker.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -419,11 +418,6 @@
 	return label == "" || slices.Contains(labels, label)
 }
 
-func jobOf(task string) string {
-	id, _, _ := strings.Cut(task, ".")
-	return id
-}
-
 // running returns the number of tasks at work.
 func (b *boot) running() int {
 	b.mu.Lock()
