--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -38,10 +40,14 @@
 		return 2
 	}
 	defer c.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	ended := make(chan error, 1)
 	go func() { ended <- run(c, os.Getenv("TROUBLE") != "0") }()
 	select {
 	case err = <-ended:
+	case got := <-signals:
+		err = fmt.Errorf("the case was interrupted: %v", got)
 	case <-time.After(longest):
 		err = fmt.Errorf("the case took longer than %v", longest)
 	}
