lib/lease: an agent's own stop doesn't count as its worker's time

Cause: the agent counted the lease on a clock that leaves out suspensions of the machine, but not stops of its own process, of which it can't know whether they stopped the worker's clock too.

Change: clock.Awake leaves out each time between two readings that is longer than 250 ms; the manager reads it every 20 ms. All that is reckoned by it (lower bound of the worker's clock, end of the lease, silence) errs on the safe side when it is behind: a stop adds at most 1.1 s to the time after which a worker that doesn't answer is given up.

--- a/lib/clock/clock.go
+++ b/lib/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock provides a monotonic clock that also counts time during which the
-// machine is suspended.
+// Package clock provides monotonic clocks that differ in what they count of the
+// time during which the machine is suspended or the process is stopped.
 package clock
 
 import (
@@ -8,8 +8,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Clock returns the time since a fixed but unspecified moment. It is monotonic
-// and also counts time during which the machine is suspended.
+// Clock returns the time since a fixed but unspecified moment. It is monotonic.
 type Clock interface {
 	Now() time.Duration
 }
@@ -20,7 +19,8 @@
 // Now implements Clock.
 func (f Func) Now() time.Duration { return f() }
 
-// Boot returns the clock that counts from the boot of this machine.
+// Boot returns the clock that counts from the boot of this machine, and also
+// while the machine is suspended.
 func Boot() Clock { return Func(sinceBoot) }
 
 func sinceBoot() time.Duration {
--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -70,6 +70,9 @@
 	// tickInterval is how often sessions and unresponsive workers are
 	// checked.
 	tickInterval = 20 * time.Millisecond
+	// maxTickGap is the time without a tick from which the process counts as having
+	// been stopped.
+	maxTickGap = 250 * time.Millisecond
 	// evictionTicks is the number of ticks between two evictions of expired
 	// state.
 	evictionTicks = 50
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/wire"
 )
 
@@ -21,7 +22,7 @@
 	dial           func(Announcement) Worker
 	log            *slog.Logger
 	metrics        metrics
-	began          time.Time
+	awake          *clock.Awake
 	startSemaphore chan struct{}
 	stopSemaphore  chan struct{}
 	goroutines     sync.WaitGroup
@@ -61,7 +62,7 @@
 		dial:           dial,
 		log:            log,
 		metrics:        newMetrics(scope),
-		began:          time.Now(),
+		awake:          clock.NewAwake(maxTickGap),
 		startSemaphore: make(chan struct{}, maxConcurrentStarts),
 		stopSemaphore:  make(chan struct{}, maxConcurrentStops),
 		fence:          newFence(time.Now()),
@@ -170,9 +171,10 @@
 	return append([]*incarnation{m.incarnation}, m.retired...)
 }
 
-// monotonic reads a clock that does not count suspended time, like the
-// worker's.
-func (m *Manager) monotonic() time.Duration { return time.Since(m.began) }
+// monotonic reads a clock that does not count the time during which the machine
+// was suspended, like the worker's, or this process was stopped. What stopped the
+// process may have stopped the worker's clock too.
+func (m *Manager) monotonic() time.Duration { return m.awake.Now() }
 
 // nowMillis reads the agent's clock, in milliseconds.
 func (m *Manager) nowMillis() int64 { return m.cfg.Clock.Now().Milliseconds() }
