--- a/internal/story/cause_refused.go
+++ b/internal/story/cause_refused.go
@@ -27,6 +27,9 @@
 	reasonIs("sentAgain", "sentAgain", func(_ *Story, end *Line) string {
 		return fmt.Sprintf("The caller submitted the job again while entry %s was still processing it.", end.Process)
 	}),
+	reasonIs("earlierRuns", "earlierRuns", func(_ *Story, end *Line) string {
+		return fmt.Sprintf("The caller submitted the job again, and runs of its earlier attempt had not ended at entry %s by the new deadline.", end.Process)
+	}),
 	{"entryStarted", explainEntryStarted},
 	{"agentsLost", explainAgentsLost},
 	{"allEjected", explainAllEjected},
--- a/lib/event/entry.go
+++ b/lib/event/entry.go
@@ -25,6 +25,9 @@
 	RunHalted = entrySection.failure("runHalted", "A run will be stopped.",
 		"The request to the agent is repeated until it is acknowledged; the run occupies its capacity until its end is reported.",
 		job, task, attempt, worker, reason, elapsed, Field{"expectedMillis", "expected run time"})
+	RunAwaited = entrySection.failure("runAwaited", "A task waits for the end of its run.",
+		"The agent of the run does not respond. Its machine may be suspended and go on with the run, so the task is placed again only once the agent has reported the run's end.",
+		job, task, attempt, worker, agent, silence, elapsed)
 	RunEnded = entrySection.failure("runEnded", "A run has ended without completing its task.",
 		"The agent reported the end of a run that failed, was stopped or was lost.",
 		job, task, attempt, worker, outcome, reason, runTime)
@@ -62,7 +65,7 @@
 	LaunchUnanswered = entrySection.warning(Failure, "launchUnanswered", "An agent did not respond to a launch.",
 		"The runs may have started and will be stopped.", job, Field{"runs", "the runs, TASK/ATTEMPT each"}, agent, worker, errorText)
 	HaltUnanswered = entrySection.warning(Failure, "haltUnanswered", "An agent did not respond to a stop request.",
-		"The entry repeats the request until the agent responds or the entry's session there has certainly ended.",
+		"The entry repeats the request until the agent responds.",
 		agent, Field{"runs", "the runs, TASK/ATTEMPT each"}, errorText)
 	WorkerEjected = entrySection.warning(Change, "workerEjected", "A worker was ejected.",
 		"Too many runs failed or hung on the worker. It gets no tasks for a period, and then a single trial task.",
@@ -77,8 +80,8 @@
 	AgentUnlisted = entrySection.change("agentUnlisted", "An agent was removed from the directory.",
 		"The entry stops calling it; no run of this entry is left there.", agent)
 	AgentLost = entrySection.warning(Change, "agentLost", "An agent does not respond.",
-		"It gets no launches; tasks of runs there are placed again only once those runs have certainly ended.",
-		agent, worker, silence, running, Field{"goneMillis", "time until the runs there have certainly ended"})
+		"It gets no launches; tasks of runs there are placed again only once it, or its next incarnation, has reported their ends.",
+		agent, worker, silence, running)
 	AgentRegained = entrySection.change("agentRegained", "An agent responds.",
 		"A Watch call was answered for the first time, or again after a failure.",
 		agent, worker, silence)
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -37,8 +37,15 @@
 }
 
 // admit accepts a job, or returns why not. An earlier job with the same ID is
-// stopped first, and the new one waits until its runs have ended.
+// stopped first, and the new one waits until its runs have ended, but not beyond
+// its own deadline.
 func (d *Dispatcher) admit(ctx context.Context, j Job) (*activeJob, Outcome) {
+	wait := maxAgentSilence
+	if !j.Deadline.IsZero() {
+		wait = time.Until(j.Deadline)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	for {
 		job, earlier, refused := d.tryAdmit(j)
 		if earlier == nil {
@@ -46,6 +53,8 @@
 		}
 		select {
 		case <-earlier.settled:
+		case <-timer.C:
+			return nil, d.refuse(j, reasonEarlierRuns)
 		case <-d.stopped:
 			return nil, d.refuse(j, reasonShuttingDown)
 		case <-ctx.Done():
--- a/lib/job/halt.go
+++ b/lib/job/halt.go
@@ -55,11 +55,21 @@
 			return
 		}
 		if !h.call(ctx, runs, runner, q) {
-			sleep(ctx, backoff(longestBackoff))
+			sleep(ctx, h.pause())
 		}
 	}
 }
 
+// pause returns the wait after an unacknowledged call.
+func (h *haltSender) pause() time.Duration {
+	h.l.d.mu.Lock()
+	defer h.l.d.mu.Unlock()
+	if h.l.isAbsent() {
+		return h.l.lookPause()
+	}
+	return backoff(longestBackoff)
+}
+
 // next returns the runs to halt and the request for it.
 func (h *haltSender) next() ([]*run, wire.Runner, *wire.HaltRequest) {
 	d := h.l.d
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -112,6 +112,9 @@
 // silentAfter.
 func (l *link) isSilent(now time.Duration) bool { return now-l.answeredAt > silentAfter }
 
+// isAbsent reports whether the agent neither answers nor is listed.
+func (l *link) isAbsent() bool { return l.failing && l.unlisted }
+
 // isStale reports whether the agent's next answer is overdue.
 func (l *link) isStale(now time.Duration) bool {
 	return now-l.answeredAt > max(watchWait, l.d.idlePause())+answerSlack
@@ -143,7 +146,7 @@
 }
 
 // runsEndedBy returns when all runs under the session have ended even if the
-// agent never answers again.
+// agent never answers again, unless its machine has been suspended.
 func (l *link) runsEndedBy() time.Duration {
 	return l.sessionEnd + l.d.cfg.RunGrace
 }
--- a/lib/job/log.go
+++ b/lib/job/log.go
@@ -220,7 +220,19 @@
 	}
 	l.silenceLogged = true
 	l.d.logEvent(event.AgentLost, slog.String("agent", l.member.GetIncarnation().GetId()), slog.String("worker", l.reported.GetId()),
-		millis("silentMillis", now-l.answeredAt), slog.Int("running", len(l.runs)), millis("goneMillis", max(l.runsEndedBy()-now, 0)))
+		millis("silentMillis", now-l.answeredAt), slog.Int("running", len(l.runs)))
+}
+
+// logAwaited logs, once, that a task waits for the answer of the agent that has
+// its run.
+func (d *Dispatcher) logAwaited(r *run, now time.Duration) {
+	if r.awaited {
+		return
+	}
+	r.awaited = true
+	d.logEvent(event.RunAwaited, slog.String("job", r.activeJob.ID), slog.String("task", r.task.name), slog.Uint64("attempt", uint64(r.attempt)),
+		slog.String("worker", r.worker), slog.String("agent", r.link.member.GetIncarnation().GetId()),
+		millis("silentMillis", now-r.link.answeredAt), millis("ranMillis", now-r.sentAt))
 }
 
 // logRegained logs the first answer of the agent, or its first one after it was
--- a/lib/job/reason.go
+++ b/lib/job/reason.go
@@ -8,6 +8,7 @@
 	reasonTooLate            = "late"
 	reasonShuttingDown       = "leaving"
 	reasonResubmitted        = "sentAgain"
+	reasonEarlierRuns        = "earlierRuns"
 	reasonNoWorkers          = "noWorkers"
 	reasonQueueFull          = "queueFull"
 	reasonUnlikelyInTime     = "hopeless"
--- a/lib/job/run.go
+++ b/lib/job/run.go
@@ -37,6 +37,8 @@
 	trial bool
 	// started is set once the run has started, or may have.
 	started bool
+	// awaited is set once it was logged that the run waits for a silent agent.
+	awaited bool
 	halt    haltState
 }
 
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,8 +11,16 @@
 	"skylarklane.example/lib/wire"
 )
 
-// directoryInterval is how often the directory is read.
-const directoryInterval = 100 * time.Millisecond
+const (
+	// directoryInterval is how often the directory is read.
+	directoryInterval = 100 * time.Millisecond
+	// maxAgentSilence is how long the runs of a best-effort job wait for a silent
+	// agent before the job is given up.
+	maxAgentSilence = 30 * time.Second
+	// lostRunRetention is how long the runs of an answered job at a silent agent
+	// are remembered. Until then the job does not start again at this entry.
+	lostRunRetention = 10 * time.Minute
+)
 
 // loop runs the periodic work until ctx ends.
 func (d *Dispatcher) loop(ctx context.Context) {
@@ -64,6 +73,9 @@
 	id := member.GetIncarnation().GetId()
 	if l := d.links[id]; l != nil {
 		l.setMember(member)
+		if l.unlisted {
+			l.wake()
+		}
 		return
 	}
 	ctx, cancel := context.WithCancel(d.ctx)
@@ -115,15 +127,15 @@
 	}
 }
 
-// tickLink retries the runs of an agent that has been silent for so long that
-// they have certainly ended. Otherwise it halts runs that hang, if the service
-// has another worker, and repeats halts.
+// tickLink halts runs that hang, if the service has another worker, and repeats
+// halts. If the agent has been silent beyond the end of its session, its runs
+// wait for its answer instead.
 func (d *Dispatcher) tickLink(l *link, now time.Duration) {
 	if l.watched && l.isSilent(now) && now-l.watchedAt > silentAfter {
 		l.logSilence(now)
 	}
 	if l.isSilent(now) && now > l.runsEndedBy() {
-		d.retryLostRuns(l, now)
+		d.awaitAgent(l, now)
 		return
 	}
 	for _, r := range l.runs {
@@ -134,25 +146,25 @@
 	}
 }
 
-// retryLostRuns retries the runs of a silent agent, except those whose end may
-// still be reported.
-func (d *Dispatcher) retryLostRuns(l *link, now time.Duration) {
-	var runs []*run
-	l.orphans = slices.DeleteFunc(l.orphans, func(r *run) bool {
-		if l.mayStillReport(r) {
-			return false
+// awaitAgent processes the runs of an agent that is silent beyond the end of its
+// session. Silence does not end a run of a best-effort job: if the machine is
+// suspended, the worker's clock stands still, and the run goes on with what is left of
+// its lease when the machine resumes. Its task starts again once the agent, or
+// its next incarnation, has reported the end of the run.
+func (d *Dispatcher) awaitAgent(l *link, now time.Duration) {
+	for _, r := range slices.Concat(l.orphans, slices.Collect(maps.Values(l.runs))) {
+		job := r.activeJob
+		switch {
+		case job.durable != nil && l.mayStillReport(r):
+		case job.durable != nil, job.answered && now-l.answeredAt > lostRunRetention:
+			l.orphans = slices.DeleteFunc(l.orphans, func(one *run) bool { return one == r })
+			r.setStarted(true)
+			d.retryTask(r, reasonAgentSilent, "", now)
+		case !job.answered && now-l.answeredAt > maxAgentSilence:
+			d.finish(job, d.stoppedOutcome(job, reasonAgentSilent))
+		case !job.answered:
+			d.logAwaited(r, now)
 		}
-		runs = append(runs, r)
-		return true
-	})
-	for _, r := range l.runs {
-		if !l.mayStillReport(r) {
-			runs = append(runs, r)
-		}
-	}
-	for _, r := range runs {
-		r.setStarted(true)
-		d.retryTask(r, reasonAgentSilent, "", now)
 	}
 }
 
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -75,11 +75,15 @@
 }
 
 // pauseOf returns the pause before the next Watch to an agent, and whether the
-// agent is watched. It forgets the runs that have begun before.
+// agent is watched. An absent agent is called as rarely as one that is not. It
+// forgets the runs that have begun before.
 func (d *Dispatcher) pauseOf(l *link) (pause time.Duration, watched bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(l.runs)+len(l.orphans) > 0 {
+		if l.isAbsent() {
+			return l.lookPause(), false
+		}
 		return 0, true
 	}
 	select {
