--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -123,6 +123,7 @@
 	if err != nil {
 		m.fence.increment()
 		m.metrics.retries.Inc("holdUnanswered")
+		m.noteCallError(inc, err)
 		return false
 	}
 	switch {
@@ -146,6 +147,9 @@
 		m.logIncarnation(event.WorkerRegained, inc, millisAttr("silentMillis", now-inc.repliedAt))
 	}
 	inc.repliedAt = now
+	if sent >= inc.disconnectedAt {
+		inc.disconnected = false
+	}
 	inc.ackedHoldSentAt = max(inc.ackedHoldSentAt, sent)
 	m.applyEnds(inc, report)
 	if seq > inc.lastHoldApplied {
--- a/lib/lease/incarnation.go
+++ b/lib/lease/incarnation.go
@@ -25,6 +25,11 @@
 	departed bool
 	// mismatched is set once the worker has answered as another incarnation.
 	mismatched bool
+	// disconnectedAt is when a connection to the worker last broke, and disconnected
+	// is set until a hold that was sent later is answered: the worker may have
+	// crashed, and a successor of another kind may answer under its id.
+	disconnected   bool
+	disconnectedAt time.Duration
 	// cleared is set once the worker has no orphans left and no end of an
 	// unknown run waits for an owner.
 	cleared bool
@@ -178,6 +183,15 @@
 	}
 }
 
+// recordDisconnect records that a call failed for another reason than that its
+// time was over.
+func (inc *incarnation) recordDisconnect(now time.Duration) {
+	if !inc.disconnected {
+		inc.requestHold()
+	}
+	inc.disconnected, inc.disconnectedAt = true, now
+}
+
 // requestHold makes the prober send a hold at once.
 func (inc *incarnation) requestHold() {
 	select {
--- a/lib/lease/incarnation_test.go
+++ b/lib/lease/incarnation_test.go
@@ -58,6 +58,60 @@
 	})
 }
 
+// TestBrokenConnectionStopsStarts guards against starts that are meant for a worker
+// that has crashed and reach its successor, which is of another kind (review/8).
+func TestBrokenConnectionStopsStarts(t *testing.T) {
+	tests := []struct {
+		name string
+		// crash has a call to the worker fail; down is for how many milliseconds the
+		// others do.
+		crash func(d *driver)
+		down  int
+	}{
+		{"a hold fails", func(*driver) {}, 100},
+		{"a start fails", func(d *driver) { d.launch(entryOne, 1, "z") }, 100},
+		{"the successor is up at once", func(*driver) {}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withDriver(t, func(d *driver) {
+				d.watch(entryOne, 0)
+				next := newFakeWorker("w1", 2000)
+				next.announcement.Labels = []string{"slow"}
+				d.workers[next.announcement.IncarnationName()] = next
+				broken := true
+				d.w.withLock(func() {
+					d.w.onHold = func(q Hold, _ func() Report) (Report, error) {
+						if broken {
+							return Report{}, errBroken
+						}
+						return next.Hold(t.Context(), q)
+					}
+					d.w.onStart = func(q Start, _ func() Answer) (Answer, error) {
+						if broken {
+							return Answer{}, errBroken
+						}
+						return next.Start(t.Context(), q)
+					}
+					close(d.w.wake) // ends the hold under way
+					d.w.wake = make(chan struct{})
+				})
+				test.crash(d)
+				d.sleep(test.down)
+				broken = false
+				d.sleep(1)
+				d.Equal(d.launch(entryOne, 2, "a")[0].GetReason(), "workerDisconnected")
+				d.sleep(200) // the next hold is answered by the successor
+				d.Equal(d.launch(entryOne, 3, "a")[0].GetReason(), "workerUnannounced")
+				d.Equal(next.startCount("a"), 0)
+				d.announce(next)
+				d.sleep(50)
+				d.mustAccept(entryOne, 4, "a")
+			})
+		})
+	}
+}
+
 func TestOtherWorkerAtSameOrNewAddress(t *testing.T) {
 	tests := []struct {
 		address string
--- a/lib/lease/log.go
+++ b/lib/lease/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"time"
@@ -53,6 +54,14 @@
 		slog.String("what", order),
 		slog.Int("tries", tries),
 		slog.String("error", err.Error()))
+	m.noteCallError(inc, err)
+}
+
+// noteCallError records that a call to the worker failed, unless it timed out.
+func (m *Manager) noteCallError(inc *incarnation, err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		inc.recordDisconnect(m.monotonic())
+	}
 }
 
 // logOrderRefused logs and counts that the worker refused an order.
--- a/lib/lease/start.go
+++ b/lib/lease/start.go
@@ -91,6 +91,8 @@
 		return "workerUnannounced"
 	case inc.announcement.Draining:
 		return "workerDraining"
+	case inc.disconnected:
+		return "workerDisconnected"
 	case m.isSilent(inc):
 		return "workerSilent"
 	case m.leaseOutlasts(inc, r.session):
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -102,6 +102,8 @@
 		return "workerDraining"
 	case inc.mismatched:
 		return "workerReplaced"
+	case inc.disconnected:
+		return "workerDisconnected"
 	case m.isSilent(inc):
 		return "workerSilent"
 	case !inc.cleared || len(inc.orphans) > 0:
--- a/lib/lease/worker_test.go
+++ b/lib/lease/worker_test.go
@@ -3,12 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 )
 
-var errNoAnswer = errors.New("no answer")
+// errNoAnswer is the error of a call that timed out, errBroken that of one whose
+// connection broke.
+var (
+	errNoAnswer = fmt.Errorf("no answer: %w", context.DeadlineExceeded)
+	errBroken   = errors.New("connection reset")
+)
 
 // fakeWorker models a worker with a lease, fencing tokens and a capacity
 // counted in runs.
