lib/process: TestLogNeverBlocks fills its pipe also on a fast machine

Seen: 'not all lines were written' failed in 1 of 5 runs, and in 1 of up to 60 on the untouched code. Cause: lines are collected for 100 ms before they are written. This machine logs all 40,000 in 10 to 20 ms, so that all but the queue's 16 KiB were dropped before the first write, and the pipe (64 KiB) took these: the log was closed with all that it still had, as it should be. The test had taken a slow machine for granted. Change: the pipe holds 4 KiB, less than the queue. No check was changed; the condition that they rest on now always holds.

--- a/lib/process/log_test.go
+++ b/lib/process/log_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
@@ -145,6 +146,19 @@
 	is.Equal(len(q.take(nil, maxWriteBytes)), 16)
 }
 
+// shrinkPipe makes a pipe hold less than the queue of a log, however few writes
+// there are.
+func shrinkPipe(t *testing.T, w *os.File) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := w.SyscallConn()
+	is.NoErr(err)
+	var size int
+	is.NoErr(raw.Control(func(fd uintptr) { size, err = unix.FcntlInt(fd, unix.F_SETPIPE_SZ, 4096) }))
+	is.NoErr(err)
+	is.Equal(size, 4096)
+}
+
 // TestLogNeverBlocks logs to a pipe without a reader: a full pipe must not block
 // the logging goroutines.
 func TestLogNeverBlocks(t *testing.T) {
@@ -152,6 +166,7 @@
 	r, w, err := os.Pipe()
 	is.NoErr(err)
 	defer r.Close()
+	shrinkPipe(t, w)
 	log := openLog(w, "entry", true, queueLimits{lines: 64, bytes: 1 << 14})
 	done := make(chan struct{})
 	go func() {
