--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -71,7 +71,7 @@
 		log:         log,
 		done:        make(chan struct{}),
 	}
-	s.server = &http.Server{Handler: CloseConnections(s.closing.Load, h), ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols(), ConnState: s.connections.set}
+	s.server = &http.Server{Handler: CloseConnections(s.closing.Load, h), ReadHeaderTimeout: readHeaderTimeout, Protocols: Protocols(), ConnState: s.connections.set, ConnContext: withConnection}
 	go s.run()
 	return s
 }
