--- a/lib/job/active_job.go
+++ b/lib/job/active_job.go
@@ -67,6 +67,10 @@
 	// runs left.
 	done    chan struct{}
 	settled chan struct{}
+	// successors counts the submissions under the job's ID that wait for its runs to
+	// end; cancelled is closed, and replaced, when they are cancelled.
+	successors int
+	cancelled  chan struct{}
 }
 
 // step is the state of a step.
@@ -111,6 +115,7 @@
 		deadlineAt:  never,
 		done:        make(chan struct{}),
 		settled:     make(chan struct{}),
+		cancelled:   make(chan struct{}),
 	}
 	if !j.Deadline.IsZero() {
 		job.deadlineAt = now + time.Until(j.Deadline)
--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -51,25 +51,38 @@
 		if earlier == nil {
 			return job, refused
 		}
+		reason := ""
 		select {
 		case <-earlier.settled:
+		case <-earlier.cancelled:
+			reason = reasonCancelled
 		case <-timer.C:
-			return nil, d.refuse(j, reasonEarlierRuns)
+			reason = reasonEarlierRuns
 		case <-d.stopped:
-			return nil, d.refuse(j, reasonShuttingDown)
+			reason = reasonShuttingDown
 		case <-ctx.Done():
-			return nil, d.refuse(j, reasonCallerDisconnected)
+			reason = reasonCallerDisconnected
+		}
+		if out, refused := d.endWait(j, earlier, reason); refused {
+			return nil, out
 		}
 	}
 }
 
-func (d *Dispatcher) refuse(j Job, reason string) Outcome {
+// endWait ends the wait of a job for an earlier one, and refuses the job if there
+// is a reason.
+func (d *Dispatcher) endWait(j Job, earlier *activeJob, reason string) (out Outcome, refused bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.refuseJob(j, reason)
+	earlier.successors--
+	if reason == "" {
+		return Outcome{}, false
+	}
+	return d.refuseJob(j, reason), true
 }
 
-// tryAdmit accepts a job unless an earlier one with its ID still has runs.
+// tryAdmit accepts a job unless an earlier one with its ID still has runs, for
+// which the caller waits until it calls endWait.
 func (d *Dispatcher) tryAdmit(j Job) (job, earlier *activeJob, refused Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -78,6 +91,7 @@
 			return nil, nil, d.refuseJob(j, reasonDurableJobExists)
 		}
 		d.finish(earlier, d.stoppedOutcome(earlier, reasonResubmitted))
+		earlier.successors++
 		return nil, earlier, Outcome{}
 	}
 	if d.shuttingDown {
--- a/lib/wire/ledger.twirp.go
+++ b/lib/wire/ledger.twirp.go
@@ -1626,7 +1626,7 @@
 }
 
 func (s *ledgerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *ledgerServer) ProtocGenTwirpVersion() string {
@@ -1640,7 +1640,7 @@
 	return baseServicePath(s.pathPrefix, "skylarklane.v1", "Ledger")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1203 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x57, 0xdf, 0x6e, 0xe2, 0xc6,
 	0x17, 0x5e, 0x83, 0xf9, 0x77, 0x60, 0xf9, 0x79, 0x67, 0xf3, 0xc7, 0x21, 0xf9, 0xad, 0x28, 0xad,
--- a/lib/wire/quorum.twirp.go
+++ b/lib/wire/quorum.twirp.go
@@ -1346,7 +1346,7 @@
 }
 
 func (s *quorumServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *quorumServer) ProtocGenTwirpVersion() string {
@@ -1360,7 +1360,7 @@
 	return baseServicePath(s.pathPrefix, "skylarklane.v1", "Quorum")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 823 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x56, 0xc1, 0x6e, 0xdb, 0x46,
 	0x10, 0x05, 0x29, 0x92, 0x92, 0x46, 0xb2, 0x6a, 0x10, 0x86, 0xcb, 0xca, 0x76, 0xa1, 0xd2, 0x28,
--- a/lib/wire/run.twirp.go
+++ b/lib/wire/run.twirp.go
@@ -1627,7 +1627,7 @@
 }
 
 func (s *runnerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *runnerServer) ProtocGenTwirpVersion() string {
@@ -1641,7 +1641,7 @@
 	return baseServicePath(s.pathPrefix, "skylarklane.v1", "Runner")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 1202 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xcc, 0x57, 0xcd, 0x6e, 0xdb, 0x46,
 	0x10, 0x2e, 0x25, 0x4a, 0x16, 0x47, 0x92, 0xa3, 0x6e, 0x9c, 0x94, 0x91, 0x63, 0x24, 0x61, 0x0f,
--- a/lib/wire/store.twirp.go
+++ b/lib/wire/store.twirp.go
@@ -1906,7 +1906,7 @@
 }
 
 func (s *jobStoreServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *jobStoreServer) ProtocGenTwirpVersion() string {
@@ -1920,7 +1920,7 @@
 	return baseServicePath(s.pathPrefix, "skylarklane.v1", "JobStore")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 1118 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x56, 0xcf, 0x73, 0xdb, 0x44,
 	0x14, 0x46, 0xb6, 0x1c, 0xdb, 0xcf, 0x89, 0xe3, 0x2e, 0x6d, 0xa3, 0x38, 0x9d, 0xe0, 0xaa, 0x0c,
--- a/lib/wire/task.twirp.go
+++ b/lib/wire/task.twirp.go
@@ -1905,7 +1905,7 @@
 }
 
 func (s *agentServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *agentServer) ProtocGenTwirpVersion() string {
@@ -1919,7 +1919,7 @@
 	return baseServicePath(s.pathPrefix, "skylarklane.v1", "Agent")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 953 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x56, 0x4f, 0x8f, 0x1b, 0x35,
 	0x1c, 0x65, 0x32, 0x99, 0x34, 0xf9, 0x25, 0xd9, 0x06, 0xd3, 0xae, 0x86, 0x94, 0x8a, 0x74, 0x2a,
