--- a/lib/control/group_test.go
+++ b/lib/control/group_test.go
@@ -239,6 +239,6 @@
 	is.NoErr(other.Restore(snapshot))
 	is.Equal(other.newest().GetVersion(), uint64(1500))
 	is.Equal(other.newest().GetSource(), source)
-	is.Equal(len(other.directory().GetServices()[0].GetKinds()), 800)
+	is.Equal(len(other.directory(wire.Role_ROLE_ENTRY).GetServices()[0].GetKinds()), 800)
 	is.True(strings.HasPrefix(string(encode(other.state)), string(snapshot)))
 }
--- a/lib/control/machine.go
+++ b/lib/control/machine.go
@@ -30,6 +30,8 @@
 	state *wire.ControlState
 	// activeConfig is the decoded content of the newest change.
 	activeConfig *wire.Configuration
+	// packed is the configuration that was packed last.
+	packed packedConfig
 	// jobs holds the durable jobs.
 	jobs *store.Machine
 }
--- a/lib/control/machine_test.go
+++ b/lib/control/machine_test.go
@@ -342,13 +342,56 @@
 	g := newTestState(t)
 	g.join(newAgent(0, 1))
 	g.settle()
-	before := g.machine.directory()
+	before := g.machine.directory(wire.Role_ROLE_ENTRY)
 	g.join(newAgent(1, 1))
-	delta := g.machine.delta(before.GetVersion(), 0)
+	delta := g.machine.delta(&wire.RenewRequest{DirectoryVersion: before.GetVersion()})
 	g.is.Equal(len(delta.GetMembers()), 1) // the new member alone
 	g.is.Equal(len(delta.GetViews()), 0)
 	g.is.True(delta.GetConfiguration() == nil)
-	g.is.True(g.machine.delta(delta.GetVersion()+1, 0) == nil) // unknown version: the whole directory must be sent
+	g.is.True(g.machine.delta(&wire.RenewRequest{DirectoryVersion: delta.GetVersion() + 1}) == nil) // unknown version: the whole directory must be sent
+}
+
+// TestConfigurationOfDelta guards against renewals that carry a large configuration
+// to members without a use for it, or uncompressed to each of the others (review/1).
+func TestConfigurationOfDelta(t *testing.T) {
+	g := newTestState(t)
+	g.join(newAgent(0, 1))
+	kind := &wire.Kind{Name: "fins"}
+	for i := range 1400 {
+		kind.Routes = append(kind.Routes, &wire.Route{Host: fmt.Sprintf("h%d.example", i%20), PathPrefix: fmt.Sprintf("/p%d/", i)})
+	}
+	g.machine.activeConfig = &wire.Configuration{Version: 7, Services: []*wire.Service{{Name: "sizing", Kinds: []*wire.Kind{kind}}}}
+	whole := proto.Size(g.machine.activeConfig)
+	tests := []struct {
+		name    string
+		role    wire.Role
+		packed  bool
+		maxSize int
+		routes  int
+	}{
+		{"agent", wire.Role_ROLE_AGENT, true, 200, 0},
+		{"entry", wire.Role_ROLE_ENTRY, true, whole / 3, 1400},
+		{"entry of a former release", wire.Role_ROLE_ENTRY, false, whole + 200, 1400},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			delta := g.machine.delta(&wire.RenewRequest{Member: &wire.Member{Role: test.role}, DirectoryVersion: 1, Packed: test.packed})
+			is.True(proto.Size(delta) <= test.maxSize)
+			c := delta.GetConfiguration()
+			if c == nil {
+				var err error
+				c, err = wire.UnpackConfiguration(delta.GetPackedConfiguration())
+				is.NoErr(err)
+			}
+			is.Equal(c.GetVersion(), uint64(7))
+			routes := 0
+			for _, s := range c.GetServices() {
+				routes += len(s.GetKinds()[0].GetRoutes())
+			}
+			is.Equal(routes, test.routes)
+		})
+	}
 }
 
 func TestPublish(t *testing.T) {
--- a/lib/control/member_api.go
+++ b/lib/control/member_api.go
@@ -141,10 +141,10 @@
 		return reply
 	}
 	if q.GetDeltas() {
-		reply.Delta = s.machine.delta(q.GetDirectoryVersion(), q.GetConfigVersion())
+		reply.Delta = s.machine.delta(q)
 	}
 	if reply.Delta == nil {
-		reply.Directory = s.machine.directory()
+		reply.Directory = s.machine.directory(q.GetMember().GetRole())
 	}
 	return reply
 }
--- a/lib/control/operator_api.go
+++ b/lib/control/operator_api.go
@@ -149,7 +149,7 @@
 	answer := make(chan *wire.StatusReply, 1)
 	err := c.readAsLeader(ctx, func(s *state, now time.Time) {
 		answer <- &wire.StatusReply{
-			Directory: s.machine.directory(), Members: s.leases.status(s.machine.state.GetMembers(), now),
+			Directory: s.machine.directory(wire.Role_ROLE_UNSPECIFIED), Members: s.leases.status(s.machine.state.GetMembers(), now),
 		}
 	})
 	if address := c.leaderAddress(err); address != "" {
@@ -180,7 +180,7 @@
 // addGroupStatus adds this host's view of the group to reply.
 func (c *Control) addGroupStatus(reply *wire.StatusReply, status quorum.Status) {
 	if reply.Directory == nil {
-		reply.Directory = c.state.machine.directory()
+		reply.Directory = c.state.machine.directory(wire.Role_ROLE_UNSPECIFIED)
 	}
 	reply.Leader = status.Leader
 	reply.Term = status.Term
--- a/lib/event/process.go
+++ b/lib/event/process.go
@@ -24,6 +24,8 @@
 		"The settings file has changed, or a signal asked for a reload.", Field{"used", "whether the new settings are applied"}, Field{"changed", "whether the settings differ from those in force"}, Field{"seeds", "addresses of control hosts"}, errorText)
 	ConfigInForce = commonSection.change("configInForce", "A configuration is in force.",
 		"The process applies it to all further decisions.", version, Field{"before", "version of the configuration that it replaces"})
+	ConfigUnreadable = commonSection.warning(Change, "configUnreadable", "A configuration can't be read.",
+		"The process goes on with the former one and asks again.", Field{"before", "version of the configuration in force"}, errorText)
 	DeclaredDead = commonSection.add(Change, slog.LevelError, "declaredDead", "The control group has declared this process dead.",
 		"The process ends, or joins again as a new incarnation.", Field{"newIncarnation", "number of the new incarnation, hexadecimal"})
 	DependencyLost = commonSection.warning(Change, "dependencyLost", "A dependency is unreachable.",
--- a/lib/job/cancel.go
+++ b/lib/job/cancel.go
@@ -92,6 +92,7 @@
 			return reply.GetKnown(), true
 		}
 		c.d.metrics.retry("cancel")
+		c.d.log.Debug("cancel call to the entry failed", "entry", m.GetIncarnation().GetId(), "job", id, "error", err)
 		if !c.isListed(m) {
 			return false, true
 		}
--- a/lib/membership/delta.go
+++ b/lib/membership/delta.go
@@ -12,7 +12,14 @@
 
 // merge returns the directory that results from applying a delta. The old
 // directory is not modified.
-func merge(old *wire.Directory, delta *wire.DirectoryDelta) *wire.Directory {
+func merge(old *wire.Directory, delta *wire.DirectoryDelta) (*wire.Directory, error) {
+	configuration := delta.GetConfiguration()
+	if packed := delta.GetPackedConfiguration(); packed != nil {
+		var err error
+		if configuration, err = wire.UnpackConfiguration(packed); err != nil {
+			return nil, err
+		}
+	}
 	d := &wire.Directory{
 		Version:         delta.GetVersion(),
 		Members:         mergeMembers(old.GetMembers(), delta),
@@ -26,12 +33,12 @@
 	if n := len(d.Dead) - maxDead; n > 0 {
 		d.Dead = slices.Clone(d.Dead[n:])
 	}
-	if configuration := delta.GetConfiguration(); configuration.GetVersion() > old.GetConfigVersion() {
+	if configuration.GetVersion() > old.GetConfigVersion() {
 		d.ConfigVersion = configuration.GetVersion()
 		d.Services = configuration.GetServices()
 		d.Teams = configuration.GetTeams()
 	}
-	return d
+	return d, nil
 }
 
 func mergeMembers(old []*wire.Member, delta *wire.DirectoryDelta) []*wire.Member {
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -300,7 +300,7 @@
 func (f *Follower) request(directory *wire.Directory) *wire.RenewRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	q := &wire.RenewRequest{Member: f.member, Deltas: true, HostsVersion: f.hostsVersion, Forward: time.Now().Before(f.forwardUntil)}
+	q := &wire.RenewRequest{Member: f.member, Deltas: true, Packed: true, HostsVersion: f.hostsVersion, Forward: time.Now().Before(f.forwardUntil)}
 	if !f.joining {
 		q.DirectoryVersion = directory.GetVersion()
 		q.ConfigVersion = directory.GetConfigVersion()
@@ -339,7 +339,12 @@
 	f.validUntil = max(f.validUntil, sentAt+f.lease)
 	newest := reply.GetDirectory()
 	if delta := reply.GetDelta(); delta != nil && delta.GetSince() == f.directory.GetVersion() {
-		newest = merge(f.directory, delta)
+		merged, err := merge(f.directory, delta)
+		if err != nil {
+			event.ConfigUnreadable.Log(context.Background(), f.log, slog.Uint64("before", f.directory.GetConfigVersion()), slog.Any("error", err))
+			return
+		}
+		newest = merged
 	}
 	if newest.GetVersion() <= f.directory.GetVersion() {
 		return
--- a/lib/membership/follower_test.go
+++ b/lib/membership/follower_test.go
@@ -131,12 +131,13 @@
 		Views:         []*wire.View{{Shard: 0, Epoch: 1}, {Shard: 1, Epoch: 1}},
 		ConfigVersion: 3,
 	}
-	d := merge(old, &wire.DirectoryDelta{
+	d, err := merge(old, &wire.DirectoryDelta{
 		Since: 1, Version: 4,
 		Members: []*wire.Member{{Incarnation: restarted}},
 		Gone:    []*wire.Incarnation{one, two},
 		Views:   []*wire.View{{Shard: 1, Epoch: 2}},
 	})
+	is.NoErr(err)
 	is.Equal(len(d.GetMembers()), 1)
 	is.Equal(d.GetMembers()[0].GetIncarnation(), restarted)
 	is.Equal(len(d.GetDead()), 2)
@@ -146,6 +147,32 @@
 	is.Equal(old.GetViews()[1].GetEpoch(), uint64(1)) // the old directory is not modified
 }
 
+// TestPackedConfiguration guards against a configuration that is lost, and with it
+// the version of the directory, because its packed form can't be read.
+func TestPackedConfiguration(t *testing.T) {
+	packed := (&wire.Configuration{Version: 4, Services: []*wire.Service{{Name: "sizing"}}}).Pack()
+	tests := []struct {
+		name    string
+		packed  []byte
+		version uint64
+		config  uint64
+	}{
+		{"whole", packed, 2, 4},
+		{"cut off", packed[:len(packed)/2], 1, 3},
+		{"empty", []byte{}, 1, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFollower("127.0.0.1:1")
+			f.applyReply(f.clock.Now(), &wire.RenewReply{LeaseMillis: 60_000, Directory: &wire.Directory{Version: 1, ConfigVersion: 3}})
+			f.applyReply(f.clock.Now(), &wire.RenewReply{LeaseMillis: 60_000, Delta: &wire.DirectoryDelta{Since: 1, Version: 2, PackedConfiguration: test.packed}})
+			is.Equal(f.Directory().GetVersion(), test.version)
+			is.Equal(f.Directory().GetConfigVersion(), test.config)
+		})
+	}
+}
+
 // TestRejoinsAfterDeclaredDead checks that a member declared dead continues
 // under a new incarnation.
 func TestRejoinsAfterDeclaredDead(t *testing.T) {
