lib/job: a cancelled resubmission is found without a race

A resubmission that began to wait in the moment of a DELETE could miss it and start afterwards. The test's own directory (TestCancel) was read and written without a lock, too.

Cause: admit read the channel after tryAdmit had given up the lock.

Change: tryAdmit returns the channel that it has read under the lock; the test uses an atomic.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -63,7 +63,7 @@
 		case <-ctx.Done():
 			reason = reasonCallerDisconnected
 		}
-		if out, refused := d.endWait(j, earlier, reason); refused {
+		if out, refused := d.endWait(j, earlier.activeJob, reason); refused {
 			return nil, out
 		}
 	}
@@ -81,9 +81,16 @@
 	return d.refuseJob(j, reason), true
 }
 
+// earlierJob is a job with the same ID that still has runs. cancelled is closed if
+// those that wait for it are cancelled.
+type earlierJob struct {
+	*activeJob
+	cancelled <-chan struct{}
+}
+
 // tryAdmit accepts a job unless an earlier one with its ID still has runs, for
 // which the caller waits until it calls endWait.
-func (d *Dispatcher) tryAdmit(j Job) (job, earlier *activeJob, refused Outcome) {
+func (d *Dispatcher) tryAdmit(j Job) (job *activeJob, earlier *earlierJob, refused Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if earlier := d.jobs[j.ID]; earlier != nil {
@@ -92,7 +99,7 @@
 		}
 		d.finish(earlier, d.stoppedOutcome(earlier, reasonResubmitted))
 		earlier.successors++
-		return nil, earlier, Outcome{}
+		return nil, &earlierJob{earlier, earlier.cancelled}, Outcome{}
 	}
 	if d.shuttingDown {
 		return nil, nil, d.refuseJob(j, reasonShuttingDown)
--- a/lib/job/cancel_test.go
+++ b/lib/job/cancel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +17,9 @@
 // entries carries the calls between the cancellers of entries a and b.
 type entries struct {
 	cancellers map[string]*Canceller
-	// silent is an entry that doesn't answer, gone one that isn't listed.
-	silent, gone string
+	// silent is an entry that doesn't answer; gone says that it isn't listed.
+	silent string
+	gone   atomic.Bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -35,7 +37,7 @@
 func (e *entries) members() []*wire.Member {
 	var members []*wire.Member
 	for _, id := range []string{"a", "b"} {
-		if id != e.gone {
+		if id != e.silent || !e.gone.Load() {
 			members = append(members, &wire.Member{Incarnation: &wire.Incarnation{Id: id, Number: 1}, Address: id})
 		}
 	}
@@ -82,7 +84,7 @@
 					time.Sleep(300 * time.Millisecond)
 				}
 				if test.goneAfter > 0 {
-					time.AfterFunc(test.goneAfter, func() { e.gone = test.silent })
+					time.AfterFunc(test.goneAfter, func() { e.gone.Store(true) })
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
 				defer cancel()
