lib/job, lib/membership: a cancellation asks entries that have joined lately, too

Cause: the asked entry's directory, up to 350 ms old, did not list the other one yet, so that no one was asked.

Change: before 410 the entry waits for a renewal that was sent after the call (Follower.Refresh), and asks the entries that are listed besides. An entry has joined before it takes its first job, so that renewal lists it.

Tests: a case of TestCancel (joined lately), TestRefresh.

--- a/lib/job/cancel.go
+++ b/lib/job/cancel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,18 +21,24 @@
 
 var _ wire.Canceller = (*Canceller)(nil)
 
+// EntryDirectory lists the entries.
+type EntryDirectory interface {
+	// Entries returns the members that are entries.
+	Entries() []*wire.Member
+	// Refresh waits until the list is at least as new as the call.
+	Refresh(ctx context.Context) error
+}
+
 // Canceller cancels the best-effort jobs of all entries.
 type Canceller struct {
-	d *Dispatcher
-	// members returns the members that are entries.
-	members func() []*wire.Member
-	client  *http.Client
+	d         *Dispatcher
+	directory EntryDirectory
+	client    *http.Client
 }
 
-// NewCanceller returns a canceller. members returns the members that are entries,
-// and client makes the calls to them.
-func NewCanceller(d *Dispatcher, members func() []*wire.Member, client *http.Client) *Canceller {
-	return &Canceller{d: d, members: members, client: client}
+// NewCanceller returns a canceller. client makes the calls to other entries.
+func NewCanceller(d *Dispatcher, directory EntryDirectory, client *http.Client) *Canceller {
+	return &Canceller{d: d, directory: directory, client: client}
 }
 
 // Handler serves other entries under wire.CancellerPathPrefix.
@@ -45,17 +52,31 @@
 // Cancel cancels a job at the entry that runs it, and reports whether there is one.
 // Entries that don't answer are asked again until ctx ends or they are listed no
 // more; without the answer of each it is unknown whether one of them runs the job.
+// An entry that has joined lately may be missing in the list that is at hand, so
+// the others are asked once more with a newer one.
 func (c *Canceller) Cancel(ctx context.Context, id string) (known bool, err error) {
 	if c.d.Cancel(id) {
 		return true, nil
 	}
+	asked := c.directory.Entries()
+	if known, err := c.cancelAtAll(ctx, asked, id); known || err != nil {
+		return known, err
+	}
+	if err := c.directory.Refresh(ctx); err != nil {
+		return false, &Error{Op: "cancel", Kind: KindUnanswered, Err: eris.Wrap(err, "the directory is not renewed")}
+	}
+	joined := slices.DeleteFunc(c.directory.Entries(), func(m *wire.Member) bool { return contains(asked, m) })
+	return c.cancelAtAll(ctx, joined, id)
+}
+
+// cancelAtAll cancels a job at the one of the entries that runs it.
+func (c *Canceller) cancelAtAll(ctx context.Context, entries []*wire.Member, id string) (known bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var calls sync.WaitGroup
-	members := c.members()
-	found := make(chan bool, len(members))
-	unanswered := make(chan string, len(members))
-	for _, m := range members {
+	found := make(chan bool, len(entries))
+	unanswered := make(chan string, len(entries))
+	for _, m := range entries {
 		if wire.Same(m.GetIncarnation(), c.d.self) {
 			continue
 		}
@@ -93,7 +114,7 @@
 		}
 		c.d.metrics.retry("cancel")
 		c.d.log.Debug("cancel call to the entry failed", "entry", m.GetIncarnation().GetId(), "job", id, "error", err)
-		if !c.isListed(m) {
+		if !contains(c.directory.Entries(), m) {
 			return false, true
 		}
 		sleep(ctx, backoff(cancelBackoff))
@@ -101,13 +122,9 @@
 	return false, false
 }
 
-func (c *Canceller) isListed(m *wire.Member) bool {
-	for _, other := range c.members() {
-		if wire.Same(other.GetIncarnation(), m.GetIncarnation()) {
-			return true
-		}
-	}
-	return false
+// contains reports whether the list has the incarnation of a member.
+func contains(list []*wire.Member, m *wire.Member) bool {
+	return slices.ContainsFunc(list, func(other *wire.Member) bool { return wire.Same(other.GetIncarnation(), m.GetIncarnation()) })
 }
 
 // Cancel stops an open best-effort job, or one that waits for the runs of its
--- a/lib/job/cancel_test.go
+++ b/lib/job/cancel_test.go
@@ -20,6 +20,9 @@
 	// silent is an entry that doesn't answer; gone says that it isn't listed.
 	silent string
 	gone   atomic.Bool
+	// late is an entry that is listed only once the directory was refreshed.
+	late      string
+	refreshed atomic.Bool
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -34,10 +37,18 @@
 	return w.Result(), nil
 }
 
-func (e *entries) members() []*wire.Member {
+// Refresh implements EntryDirectory.
+func (e *entries) Refresh(context.Context) error {
+	time.Sleep(200 * time.Millisecond)
+	e.refreshed.Store(true)
+	return nil
+}
+
+// Entries implements EntryDirectory.
+func (e *entries) Entries() []*wire.Member {
 	var members []*wire.Member
 	for _, id := range []string{"a", "b"} {
-		if id != e.silent || !e.gone.Load() {
+		if (id != e.silent || !e.gone.Load()) && (id != e.late || e.refreshed.Load()) {
 			members = append(members, &wire.Member{Incarnation: &wire.Incarnation{Id: id, Number: 1}, Address: id})
 		}
 	}
@@ -50,7 +61,7 @@
 	tests := []struct {
 		name string
 		// at is the entry that runs the job; empty if none does.
-		at, silent string
+		at, silent, late string
 		// goneAfter is when the silent entry leaves the directory, 0 for never.
 		goneAfter time.Duration
 		known     bool
@@ -59,6 +70,7 @@
 		{name: "at the entry that was asked", at: "a", known: true},
 		{name: "at another entry", at: "b", known: true},
 		{name: "at the entry that was asked, another is silent", at: "a", silent: "b", known: true},
+		{name: "at an entry that has joined lately", at: "b", late: "b", known: true},
 		{name: "unknown"},
 		{name: "unknown, another entry is silent", silent: "b", fails: true},
 		{name: "unknown, another entry leaves the directory", silent: "b", goneAfter: 600 * time.Millisecond},
@@ -69,10 +81,10 @@
 				is := is.New(t)
 				agent := newFakeAgent("agent", 4000, doneAfter(time.Second))
 				n := &network{agents: map[string]*fakeAgent{"agent": agent}, fault: func(string, string) (time.Duration, bool) { return 0, false }}
-				e := &entries{cancellers: map[string]*Canceller{}, silent: test.silent}
+				e := &entries{cancellers: map[string]*Canceller{}, silent: test.silent, late: test.late}
 				for _, id := range []string{"a", "b"} {
 					d, _ := startDispatcher(t, id, n)
-					e.cancellers[id] = NewCanceller(d, e.members, &http.Client{Transport: e})
+					e.cancellers[id] = NewCanceller(d, e, &http.Client{Transport: e})
 				}
 				time.Sleep(100 * time.Millisecond)
 				j := newJob("j", 2)
--- a/lib/membership/follower.go
+++ b/lib/membership/follower.go
@@ -67,6 +67,10 @@
 	lastGrantAt  time.Time
 	configuredAt time.Time
 	directory    *wire.Directory
+	// grantedAt is when the last renewal that was granted was sent, by the clock;
+	// granted is closed at the next one.
+	grantedAt time.Duration
+	granted   chan struct{}
 	// validUntil is the reading of the clock at which the lease expires, lease its
 	// length.
 	validUntil time.Duration
@@ -96,6 +100,7 @@
 		member:    member,
 		directory: &wire.Directory{},
 		changed:   make(chan struct{}),
+		granted:   make(chan struct{}),
 		dead:      make(chan struct{}),
 	}
 }
@@ -142,6 +147,25 @@
 	return f.clock.Now() < f.validUntil
 }
 
+// Refresh waits until the directory is at least as new as the call: until a
+// renewal that was sent later is granted.
+func (f *Follower) Refresh(ctx context.Context) error {
+	calledAt := f.clock.Now()
+	for {
+		f.mu.Lock()
+		done, granted := f.grantedAt >= calledAt, f.granted
+		f.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-granted:
+		}
+	}
+}
+
 // Changed returns a channel that is closed at the next change of the
 // directory.
 func (f *Follower) Changed() <-chan struct{} {
@@ -323,6 +347,14 @@
 	close(f.dead)
 }
 
+// recordGrant records that the renewal that was sent at sentAt is granted and
+// applied.
+func (f *Follower) recordGrant(sentAt time.Duration) {
+	f.grantedAt = max(f.grantedAt, sentAt)
+	close(f.granted)
+	f.granted = make(chan struct{})
+}
+
 // applyReply processes a reply that grants a lease. It ignores a directory that
 // isn't newer than the current one.
 func (f *Follower) applyReply(sentAt time.Duration, reply *wire.RenewReply) {
@@ -346,6 +378,7 @@
 		}
 		newest = merged
 	}
+	f.recordGrant(sentAt)
 	if newest.GetVersion() <= f.directory.GetVersion() {
 		return
 	}
--- a/lib/membership/follower_test.go
+++ b/lib/membership/follower_test.go
@@ -147,6 +147,25 @@
 	is.Equal(old.GetViews()[1].GetEpoch(), uint64(1)) // the old directory is not modified
 }
 
+// TestRefresh guards against a directory that passes for newer than a call though
+// its renewal was sent before.
+func TestRefresh(t *testing.T) {
+	is := is.New(t)
+	f := newFollower("127.0.0.1:1")
+	before := f.clock.Now()
+	refreshed := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+	defer cancel()
+	f.applyReply(before, &wire.RenewReply{LeaseMillis: 60_000})
+	is.True(f.Refresh(ctx) != nil)
+	go func() { refreshed <- f.Refresh(t.Context()) }()
+	time.Sleep(10 * time.Millisecond)
+	f.mu.Lock()
+	f.applyReply(f.clock.Now(), &wire.RenewReply{LeaseMillis: 60_000})
+	f.mu.Unlock()
+	is.NoErr(<-refreshed)
+}
+
 // TestPackedConfiguration guards against a configuration that is lost, and with it
 // the version of the directory, because its packed form can't be read.
 func TestPackedConfiguration(t *testing.T) {
