--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -26,6 +26,7 @@
 	"late-copy":     lateCopy,
 	"frozen-entry":  frozenEntry,
 	"dropped-route": droppedRoute,
+	"lost-answer":   lostAnswer,
 }
 
 func main() {
