--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -27,6 +27,7 @@
 	"frozen-entry":  frozenEntry,
 	"dropped-route": droppedRoute,
 	"lost-answer":   lostAnswer,
+	"suspended":     suspendedMachine,
 }
 
 func main() {
