--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
 	echo "build deploy/system.toml and review/build-3.sh first" >&2
 	exit 2
 fi
-exec review/bin/harness3 late-copy review/13/record.txt
+exec review/bin/harness3 reborn-dark review/13/record.txt
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -23,11 +25,11 @@
 type scenario func(ctx context.Context, trouble bool, note func(string)) (broken string, record string, err error)
 
 var scenarios = map[string]scenario{
-	"late-copy":     lateCopy,
-	"frozen-entry":  frozenEntry,
-	"dropped-route": droppedRoute,
-	"lost-answer":   lostAnswer,
-	"suspended":     suspendedMachine,
+	"late-copy":    lateCopy,
+	"frozen-entry": frozenEntry,
+	"lost-answer":  lostAnswer,
+	"suspended":    suspendedMachine,
+	"reborn-dark":  rebornWorker,
 }
 
 func main() {
@@ -39,12 +41,16 @@
 }
 
 func run(s scenario, recordFile string, trouble bool) int {
-	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
+	interrupted, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(interrupted, caseLimit)
 	defer cancel()
 	note := func(text string) { fmt.Println(text) }
 	broken, record, err := s(ctx, trouble, note)
 	verdict, code := "the rule held", exitHeld
 	switch {
+	case interrupted.Err() != nil:
+		verdict, code = "the case was interrupted", exitNotRun
 	case err != nil:
 		verdict, code = "the case could not run: "+err.Error(), exitNotRun
 	case broken != "":
