--- a/review/harness3/reborn.go
+++ b/review/harness3/reborn.go
@@ -360,6 +360,8 @@
 		downFor     = 170 * time.Millisecond
 		jobAfter    = 20 * time.Millisecond
 		tasks       = 36
+		crashes     = 2
+		calmJobs    = 10
 	)
 	c, err := prepareCluster(shape{disks: 3, plain: 0, sides: 8})
 	if c == nil {
@@ -442,25 +444,27 @@
 	if err := until(ctx, "jobs are served", func() bool { n++; return post(n, 3, 20*time.Millisecond) == http.StatusOK }); err != nil {
 		return "", c.checker.History(""), err
 	}
-	for range 4 { // calm work
-		n++
-		post(n, 1, 50*time.Millisecond)
-		time.Sleep(400 * time.Millisecond)
-	}
-	if trouble {
-		p := places[0]
-		c.checker.Note(p.now.id + " crashes, its channels go silent")
-		p.end()
-		p.board.goDark()
-		time.Sleep(downFor)
-		if err := startAt(0, "b", 4000, firstReport); err != nil {
-			return "", c.checker.History(""), err
+	for crashed := range crashes {
+		for range calmJobs {
+			n++
+			post(n, 1, 50*time.Millisecond)
+			time.Sleep(400 * time.Millisecond)
 		}
-		c.checker.Note(p.now.id + " has started again under its id, at its address, as another kind")
+		if trouble {
+			p := places[crashed]
+			c.checker.Note(p.now.id + " crashes, its channels go silent")
+			p.end()
+			p.board.goDark()
+			time.Sleep(downFor)
+			if err := startAt(crashed, "b", 4000, firstReport); err != nil {
+				return "", c.checker.History(""), err
+			}
+			c.checker.Note(p.now.id + " has started again under its id, at its address, as another kind")
+		}
+		time.Sleep(jobAfter)
+		n++
+		post(n, tasks-5*crashed, 300*time.Millisecond)
 	}
-	time.Sleep(jobAfter)
-	n++
-	post(n, tasks, 300*time.Millisecond)
 	time.Sleep(time.Second)
 	mu.Lock()
 	defer mu.Unlock()
