--- a/review/harness3/cancel.go
+++ b/review/harness3/cancel.go
@@ -123,6 +123,7 @@
 	const (
 		clientWaits = 1500 * time.Millisecond
 		copyAfter   = 4 * time.Second
+		uncancelled = 3
 	)
 	began := clock{time.Now()}
 	c, err := newCluster(ctx, shape{disks: 3, plain: 1, sides: 3}, standin.Resources{CPU: 64000, MemoryMB: 262144}, deskConfig(1))
@@ -141,6 +142,15 @@
 		defer stop()
 		return caller.SubmitOnce(postCtx, job, entry)
 	}
+	var others sync.WaitGroup
+	defer others.Wait()
+	for n := range uncancelled {
+		others.Go(func() {
+			postCtx, stop := context.WithTimeout(ctx, clientWaits)
+			defer stop()
+			caller.SubmitOnce(postCtx, fullFit(uint64(0xb0b00+n)), 1+n)
+		})
+	}
 	answered := make(chan standin.Result, 1)
 	go func() { answered <- post(0) }()
 	if err := until(ctx, "the job runs", func() bool { return len(startsOf(c, job.ID)) > 0 }); err != nil {
@@ -168,9 +178,11 @@
 // wakes.
 func frozenEntry(ctx context.Context, trouble bool, note func(string)) (string, string, error) {
 	const (
-		clients   = 30
-		cancelsAt = 7350 * time.Millisecond
-		wakesAt   = 7800 * time.Millisecond
+		clients = 30
+		// uncancelled is the number of jobs at the other machines that nobody cancels.
+		uncancelled = 60
+		cancelsAt   = 7350 * time.Millisecond
+		wakesAt     = 7800 * time.Millisecond
 	)
 	began := clock{time.Now()}
 	c, err := newCluster(ctx, shape{disks: 4, plain: 2, sides: 3}, standin.Resources{CPU: 16000, MemoryMB: 16384}, config(1, prefix))
@@ -211,6 +223,12 @@
 			acks[job.ID] = ack
 		})
 	}
+	for n := range uncancelled {
+		all.Go(func() {
+			time.Sleep(time.Until(froze.Add(time.Duration(200+20*n) * time.Millisecond)))
+			caller.SubmitOnce(jobCtx, standin.NewJob(uint64(0xbeef00+n), 1, 200*time.Millisecond), (frozen+1+n%(len(c.fronts)-1))%len(c.fronts))
+		})
+	}
 	time.Sleep(time.Until(froze.Add(wakesAt)))
 	woke := began.millis()
 	if trouble {
