--- a/review/harness3/reborn.go
+++ b/review/harness3/reborn.go
@@ -360,7 +360,7 @@
 		downFor     = 170 * time.Millisecond
 		jobAfter    = 20 * time.Millisecond
 		tasks       = 36
-		crashes     = 2
+		crashes     = 4
 		calmJobs    = 10
 	)
 	c, err := prepareCluster(shape{disks: 3, plain: 0, sides: 8})
