--- a/lib/process/connections.go
+++ b/lib/process/connections.go
@@ -4,16 +4,23 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // connections holds the state of a server's open connections.
 type connections struct {
 	mu     sync.Mutex
-	states map[net.Conn]http.ConnState
+	states map[net.Conn]connectionState
+}
+
+// connectionState is the state of a connection, and when it began.
+type connectionState struct {
+	http.ConnState
+	since time.Time
 }
 
 func newConnections() *connections {
-	return &connections{states: map[net.Conn]http.ConnState{}}
+	return &connections{states: map[net.Conn]connectionState{}}
 }
 
 // set records the new state of a connection. It is the server's ConnState hook.
@@ -24,7 +31,7 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(c.states, conn)
 	default:
-		c.states[conn] = state
+		c.states[conn] = connectionState{state, time.Now()}
 	}
 }
 
@@ -34,19 +41,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, state := range c.states {
-		if state == http.StateActive {
+		if state.ConnState == http.StateActive {
 			busy++
 		}
 	}
 	return busy, len(c.states) - busy
 }
 
+// oldest returns for how long the oldest request has been in flight, 0 if there is none.
+func (c *connections) oldest() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var oldest time.Duration
+	for _, state := range c.states {
+		if state.ConnState == http.StateActive {
+			oldest = max(oldest, time.Since(state.since))
+		}
+	}
+	return oldest
+}
+
 // closeUnused closes the connections that have never carried a request.
 func (c *connections) closeUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, state := range c.states {
-		if state == http.StateNew {
+		if state.ConnState == http.StateNew {
 			_ = conn.Close()
 		}
 	}
--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -134,7 +134,8 @@
 	s.linger(ctx)
 	s.connections.closeUnused()
 	if err := s.server.Shutdown(ctx); err != nil {
-		return &Error{Op: "shutdown", Kind: KindTimeout, Err: eris.Wrap(err, "requests still in flight")}
+		busy, _ := s.connections.count()
+		return &Error{Op: "shutdown", Kind: KindTimeout, Err: eris.Wrapf(err, "%d requests still in flight, the oldest for %v", busy, s.connections.oldest())}
 	}
 	return nil
 }
--- a/lib/process/server_test.go
+++ b/lib/process/server_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +94,31 @@
 		is.New(t).Equal(e.Kind, KindAddress)
 	}
 }
+
+// TestShutdownTellsRequestsInFlight guards against a shutdown that cuts off requests and
+// leaves no trace of how many there were and how long they took.
+func TestShutdownTellsRequestsInFlight(t *testing.T) {
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	inFlight, release := make(chan struct{}), make(chan struct{})
+	server := New(listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		inFlight <- struct{}{}
+		<-release
+	}), slog.New(slog.DiscardHandler))
+	defer server.Close()
+	defer close(release)
+	for range 2 {
+		c, err := net.Dial("tcp", server.Address())
+		is.NoErr(err)
+		defer c.Close()
+		_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+		is.NoErr(err)
+		<-inFlight
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	err = server.Shutdown(ctx)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "2 requests still in flight, the oldest for "))
+}
