lib/job: a member processes the directory only when it has changed

Each member read the directory each 100 ms for the claims to jobs, and made the set of owners anew each time: a map of all members and a sort that hashed two names for each comparison.

The members of a directory are immutable and kept from one version to the next, so that comparing pointers tells whether anything has changed. Where it has, names are hashed once each.

--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -61,6 +61,10 @@
 	// agents that don't answer.
 	listed map[memberKey]bool
 	silent int
+	// readEntries and readAgents are what the directory listed when the view was last
+	// computed, and silenceChanged is set if an agent has begun or ended to answer since.
+	readEntries, readAgents []*wire.Member
+	silenceChanged          bool
 	// viewedAt is when the directory was last read. Until startedUntil and resumedUntil
 	// more members are asked, as this process has started or was suspended.
 	viewedAt     time.Duration
@@ -227,6 +231,29 @@
 	entries, agents := a.entries(), a.owners()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.clock.Now()
+	a.checkSuspension(now)
+	a.viewedAt = now
+	for len(a.former) > 0 && now >= a.former[0].until {
+		a.former = a.former[1:]
+	}
+	if !a.silenceChanged && slices.Equal(entries, a.readEntries) && slices.Equal(agents, a.readAgents) {
+		return
+	}
+	a.readEntries, a.readAgents, a.silenceChanged = entries, agents, false
+	next := newOwnerView(a.listOwners(entries, agents))
+	if next.equal(a.view) {
+		return
+	}
+	if len(a.view.members) == 0 { // others may have an older directory, which this member never had
+		a.startedUntil = now + startTime
+	}
+	a.former = append(a.former, formerView{a.view, now + moveTime})
+	a.view = next
+}
+
+// listOwners records the members of the directory and returns the agents that own ids.
+func (a *Asker) listOwners(entries, agents []*wire.Member) []*wire.Member {
 	var owners []*wire.Member
 	a.silent = 0
 	a.listed = make(map[memberKey]bool, len(entries)+len(agents))
@@ -242,21 +269,7 @@
 			owners = append(owners, m)
 		}
 	}
-	now := a.clock.Now()
-	a.checkSuspension(now)
-	a.viewedAt = now
-	for len(a.former) > 0 && now >= a.former[0].until {
-		a.former = a.former[1:]
-	}
-	next := newOwnerView(owners)
-	if next.equal(a.view) {
-		return
-	}
-	if len(a.view.members) == 0 { // others may have an older directory, which this member never had
-		a.startedUntil = now + startTime
-	}
-	a.former = append(a.former, formerView{a.view, now + moveTime})
-	a.view = next
+	return owners
 }
 
 // isSelf reports whether a listed member is this one.
--- a/lib/job/owner_view.go
+++ b/lib/job/owner_view.go
@@ -30,14 +30,21 @@
 }
 
 func newOwnerView(members []*wire.Member) *ownerView {
-	v := &ownerView{members: slices.Clone(members)}
-	slices.SortFunc(v.members, func(a, b *wire.Member) int {
-		idA, idB := a.GetIncarnation().GetId(), b.GetIncarnation().GetId()
-		return cmp.Or(cmp.Compare(hashOf(idA), hashOf(idB)), strings.Compare(idA, idB))
+	type hashed struct {
+		*wire.Member
+		hash uint64
+	}
+	order := make([]hashed, 0, len(members))
+	for _, m := range members {
+		order = append(order, hashed{m, hashOf(m.GetIncarnation().GetId())})
+	}
+	slices.SortFunc(order, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.GetIncarnation().GetId(), b.GetIncarnation().GetId()))
 	})
-	v.members = v.members[:min(len(v.members), maxOwners)]
-	for _, m := range v.members {
-		v.hashes = append(v.hashes, hashOf(m.GetIncarnation().GetId()))
+	v := &ownerView{}
+	for _, m := range order[:min(len(order), maxOwners)] {
+		v.members = append(v.members, m.Member)
+		v.hashes = append(v.hashes, m.hash)
 	}
 	return v
 }
--- a/lib/job/peer.go
+++ b/lib/job/peer.go
@@ -112,6 +112,7 @@
 	}
 	changed := p.silent != (err != nil)
 	p.silent = err != nil
+	a.silenceChanged = a.silenceChanged || changed
 	if p.silent && changed {
 		p.silentSince = now
 	}
