lib/job: an entry at rest does no work in proportion to its agents

An entry updated its links to all agents each 100 ms, though the directory had not changed: a map of all agents, the capacity and labels of each worker, and a sort of all agents by preference; and each 20 ms it looked at all agents for runs, and sorted an empty queue.

Links and their order are now made when the members change, workers are recorded once a second besides at each job, and links without runs are passed over.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -299,6 +299,7 @@
 // recordWorkers records the capacity and labels of the present workers, and
 // drops those of workers that left longer ago than knownWorkerRetention.
 func (d *Dispatcher) recordWorkers(now time.Duration) {
+	d.recordedAt = now
 	for _, l := range d.links {
 		if l.hasState() && !l.unlisted {
 			d.recordWorker(l.reported.GetService(), knownWorker{l.shape(), now})
--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -83,8 +83,14 @@
 	calls  sync.WaitGroup
 
 	mu sync.Mutex
-	// links maps the IDs of agents to the links to them.
-	links map[string]*link
+	// links maps the IDs of agents to the links to them; ranked holds them in the order
+	// in which agents are preferred, and unlisted counts those that are kept for their
+	// runs though the directory doesn't list their agents.
+	links    map[string]*link
+	ranked   []*link
+	unlisted int
+	// readMembers are the members of which links and ranked were made.
+	readMembers []*wire.Member
 	// evacuated holds the data centres whose evacuation is in force here, and
 	// evacuatedAgents counts the agents there.
 	evacuated       map[string]bool
@@ -106,6 +112,8 @@
 	// knownWorkers holds the capacity and labels of present and recent workers
 	// by service.
 	knownWorkers map[string][]knownWorker
+	// recordedAt is when the present workers were last recorded there.
+	recordedAt time.Duration
 	// endedJobs maps the IDs of jobs that have ended to what is remembered of them.
 	endedJobs map[string]endedJob
 	// claiming holds, by ID, the submissions that ask other entries for their job.
--- a/lib/job/queue.go
+++ b/lib/job/queue.go
@@ -88,6 +88,9 @@
 // prune gives up queued jobs that are unlikely to end in time. Refusing them
 // early lets their callers retry elsewhere.
 func (d *Dispatcher) prune(now time.Duration) {
+	if len(d.queue) == 0 {
+		return
+	}
 	d.sortQueue(now)
 	backlogs := map[string]admission.Backlog{}
 	agentWork := map[waitKey]float64{}
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -14,6 +14,8 @@
 const (
 	// directoryInterval is how often the directory is read.
 	directoryInterval = 100 * time.Millisecond
+	// recordInterval is how often the workers are recorded while no job arrives.
+	recordInterval = time.Second
 	// maxAgentSilence is how long the runs of a best-effort job wait for a silent
 	// agent before the job is given up.
 	maxAgentSilence = 30 * time.Second
@@ -45,6 +47,27 @@
 func (d *Dispatcher) updateLinks(members []*wire.Member) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if d.cfg.Entries != nil {
+		d.entries = d.cfg.Entries()
+	}
+	if d.unlisted > 0 || !slices.Equal(members, d.readMembers) {
+		d.listLinks(members)
+	}
+	if now-d.recordedAt >= recordInterval {
+		d.recordWorkers(now)
+	}
+	d.updateEvacuation()
+	d.updateWatched(now)
+	for _, l := range d.unstarted {
+		d.calls.Go(l.loop)
+	}
+	d.unstarted = nil
+}
+
+// listLinks updates the links to the agents that the directory lists, and removes those
+// to others without runs.
+func (d *Dispatcher) listLinks(members []*wire.Member) {
 	listed := map[string]bool{}
 	for _, member := range members {
 		if member.GetRole() == wire.Role_ROLE_AGENT {
@@ -52,24 +75,21 @@
 			d.updateLink(member)
 		}
 	}
-	if d.cfg.Entries != nil {
-		d.entries = d.cfg.Entries()
-	}
-	d.recordWorkers(d.clock.Now())
+	d.unlisted = 0
 	for id, l := range d.links {
 		l.unlisted = !listed[id]
-		if l.unlisted && len(l.runs)+len(l.orphans) == 0 {
+		switch {
+		case !l.unlisted:
+		case len(l.runs)+len(l.orphans) > 0:
+			d.unlisted++
+		default:
 			l.cancel()
 			delete(d.links, id)
 			d.logEvent(event.AgentUnlisted, slog.String("agent", id))
 		}
 	}
-	d.updateEvacuation()
-	d.updateWatched(d.clock.Now())
-	for _, l := range d.unstarted {
-		d.calls.Go(l.loop)
-	}
-	d.unstarted = nil
+	d.readMembers = members
+	d.ranked = rankLinks(d.links)
 }
 
 // updateLink creates or updates the link to an agent.
@@ -158,6 +178,9 @@
 	if l.watched && l.isSilent(now) && now-l.watchedAt > silentAfter {
 		l.logSilence(now)
 	}
+	if len(l.runs)+len(l.orphans) == 0 {
+		return
+	}
 	if l.isAwaited(now) {
 		d.awaitAgent(l, now)
 		return
--- a/lib/job/watched.go
+++ b/lib/job/watched.go
@@ -1,8 +1,10 @@
 package job
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,9 +45,8 @@
 
 // updateWatched decides which agents are watched.
 func (d *Dispatcher) updateWatched(now time.Duration) {
-	ranked := d.rankedLinks()
-	agents := make([]placement.Watchable, len(ranked))
-	for i, l := range ranked {
+	agents := make([]placement.Watchable, len(d.ranked))
+	for i, l := range d.ranked {
 		agents[i] = placement.Watchable{Service: l.reported.GetService(), Usable: l.isUsable(now), Excluded: l.evacuated, Required: l.mustBeWatched(now)}
 	}
 	watched := placement.WatchSet(agents, watchLimits, func(service string) bool {
@@ -53,7 +54,7 @@
 		return had && now-at <= demandRetention
 	})
 	n := 0
-	for i, l := range ranked {
+	for i, l := range d.ranked {
 		l.setWatched(watched[i], now)
 		if l.watched {
 			n++
@@ -62,19 +63,9 @@
 	d.metrics.watched.Update(float64(n))
 }
 
-// rankedLinks returns the links in the order in which agents are preferred.
-func (d *Dispatcher) rankedLinks() []*link {
-	ranked := make([]*link, 0, len(d.links))
-	for _, l := range d.links {
-		ranked = append(ranked, l)
-	}
-	slices.SortFunc(ranked, func(a, b *link) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return 1
-	})
-	return ranked
+// rankLinks returns the links in the order in which agents are preferred.
+func rankLinks(links map[string]*link) []*link {
+	return slices.SortedFunc(maps.Values(links), func(a, b *link) int { return cmp.Compare(a.rank, b.rank) })
 }
 
 // isPresent reports whether the agent answered the last Watch in time.
@@ -117,7 +108,7 @@
 	d.neededAt[service] = now
 	watched := 0
 	var others []*link
-	for _, l := range d.rankedLinks() {
+	for _, l := range d.ranked {
 		if l.reported.GetService() != service || !l.isUsable(now) || !r.Suits(l.shape()) {
 			continue
 		}
