--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -67,8 +67,8 @@
 	// clearWait is the wait of a hold while the outcome of unanswered starts or
 	// the end of orphans is awaited.
 	clearWait = 20 * time.Millisecond
-	// probeInterval is how often the age of the last acknowledged hold is
-	// checked.
+	// probeInterval is the minimum interval at which the age of the last
+	// acknowledged hold is checked.
 	probeInterval = 50 * time.Millisecond
 	// probeAge is the age of the last acknowledged hold from which a second
 	// hold is sent beside the long poll.
@@ -78,12 +78,14 @@
 	// tickInterval is how often sessions and unresponsive workers are
 	// checked.
 	tickInterval = 20 * time.Millisecond
+	// idleTickInterval is the same while there are no runs and no entry waits for a
+	// change.
+	idleTickInterval = 100 * time.Millisecond
 	// maxTickGap is the time without a tick from which the process counts as having
 	// been stopped.
 	maxTickGap = 250 * time.Millisecond
-	// evictionTicks is the number of ticks between two evictions of expired
-	// state.
-	evictionTicks = 50
+	// evictionInterval is the time between two evictions of expired state.
+	evictionInterval = time.Second
 	// stateInterval is how long changes of the worker's state are batched. The reply
 	// to a launch and the report of an end have the newest state.
 	stateInterval = 25 * time.Millisecond
--- a/lib/lease/hold.go
+++ b/lib/lease/hold.go
@@ -44,30 +44,33 @@
 }
 
 func (p *prober) loop() {
-	tick := time.NewTicker(probeInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(probeInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-p.inc.ctx.Done():
 			return
 		case <-p.inc.holdNow:
 			p.m.hold(p.inc, 0)
-		case <-tick.C:
-			if p.m.isProbeDue(p.inc) {
-				p.m.metrics.retries.Inc("holdLate")
-				p.m.hold(p.inc, 0)
-			}
+			continue
+		case <-timer.C:
+		}
+		due, next := p.m.checkProbe(p.inc)
+		if due {
+			p.m.metrics.retries.Inc("holdLate")
+			p.m.hold(p.inc, 0)
 		}
+		timer.Reset(next)
 	}
 }
 
-// isProbeDue reports whether the last acknowledged hold is older than probeAge,
-// by less than the length of a lease.
-func (m *Manager) isProbeDue(inc *incarnation) bool {
+// checkProbe reports whether the last acknowledged hold is older than probeAge, by less
+// than the length of a lease, and returns the time until the next check.
+func (m *Manager) checkProbe(inc *incarnation) (due bool, next time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	age := m.monotonic() - inc.ackedHoldSentAt
-	return age > probeAge && age < probeAge+m.cfg.Lease
+	return age > probeAge && age < probeAge+m.cfg.Lease, max(probeAge-age+time.Millisecond, probeInterval)
 }
 
 // hold sends one hold. It returns false if the caller should back off before
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -37,8 +37,13 @@
 	shuttingDown bool
 	// rejected is the last announcement that was ignored because it does not
 	// belong to a later incarnation than the current one.
-	rejected *Announcement
-	ticks    uint64
+	rejected  *Announcement
+	evictedAt time.Duration
+	// watches counts the Watch calls that wait for a change.
+	watches int
+	// idle is set while nothing depends on the next tick; idleEnded ends the wait for it.
+	idle      bool
+	idleEnded chan struct{}
 	// lastEnd is the number of the last reported end, over all sessions.
 	lastEnd uint64
 	// lastQueueID is the id of the run that was queued last.
@@ -69,6 +74,7 @@
 		stopSemaphore:  make(chan struct{}, maxConcurrentStops),
 		fence:          newFence(time.Now()),
 		sessions:       map[sessionKey]*session{},
+		idleEnded:      make(chan struct{}, 1),
 		epochs:         map[string]jobEpoch{},
 		publishedState: newPublishedState(),
 	}
@@ -98,28 +104,53 @@
 }
 
 func (m *Manager) loop(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-			m.tick()
+		case <-m.idleEnded:
+		case <-timer.C:
 		}
+		timer.Reset(m.tick())
 	}
 }
 
-func (m *Manager) tick() {
+// tick processes what has changed with time, and returns the time until the next tick.
+func (m *Manager) tick() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSessions()
 	m.logSilence()
 	m.expireLeases()
-	if m.ticks++; m.ticks%evictionTicks == 0 {
+	if now := m.cfg.Clock.Now(); now-m.evictedAt >= evictionInterval {
+		m.evictedAt = now
 		m.evict()
 	}
 	m.refreshState()
+	m.idle = !m.isBusy()
+	if m.idle {
+		return idleTickInterval
+	}
+	return tickInterval
+}
+
+// isBusy reports whether runs or entries depend on the next tick.
+func (m *Manager) isBusy() bool {
+	return m.watches > 0 || m.shuttingDown || len(m.retired) > 0 || m.runCountLocked()+m.queuedCountLocked() > 0
+}
+
+// endIdle has the next tick begin if something depends on it from now on.
+func (m *Manager) endIdle() {
+	if !m.idle || !m.isBusy() {
+		return
+	}
+	m.idle = false
+	select {
+	case m.idleEnded <- struct{}{}:
+	default:
+	}
 }
 
 // Shutdown refuses new runs, reports that to entries, and returns once all runs
--- a/lib/lease/manager_test.go
+++ b/lib/lease/manager_test.go
@@ -41,6 +41,14 @@
 	workers map[string]*fakeWorker
 	// evacuated is what Config.Evacuated reports.
 	evacuated atomic.Bool
+	// refreshes counts the calls of Config.Evacuated, one for each time that the state
+	// of the worker is computed.
+	refreshes atomic.Int64
+}
+
+func (d *driver) isEvacuated() bool {
+	d.refreshes.Add(1)
+	return d.evacuated.Load()
 }
 
 // withDriver runs f with a manager whose worker is announced and cleared.
@@ -79,7 +87,7 @@
 		w:       newFakeWorker("w1", 1000),
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	cfg := Config{Agent: agentOne, Clock: d.clock, Evacuated: d.evacuated.Load}
+	cfg := Config{Agent: agentOne, Clock: d.clock, Evacuated: d.isEvacuated}
 	d.manager = New(cfg, func(a Announcement) Worker { return d.workers[a.IncarnationName()] }, log, tally.NoopScope)
 	return d
 }
--- a/lib/lease/state.go
+++ b/lib/lease/state.go
@@ -36,6 +36,7 @@
 // once for all changes within stateInterval, but at once if the worker starts or
 // stops accepting runs.
 func (m *Manager) refreshState() {
+	m.endIdle()
 	m.serveQueue()
 	next := m.state()
 	next.Version = m.publishedState.state.GetVersion()
--- a/lib/lease/watch.go
+++ b/lib/lease/watch.go
@@ -28,6 +28,10 @@
 	delayOver := time.NewTimer(delay)
 	defer delayOver.Stop()
 	delayed := delay > 0
+	if wait > 0 {
+		m.addWatch(1)
+		defer m.addWatch(-1)
+	}
 	for {
 		reply, endAdded, stateChanged := m.replyIfNew(s, q, delayed)
 		if reply != nil {
@@ -46,6 +50,14 @@
 	}
 }
 
+// addWatch counts a Watch that waits.
+func (m *Manager) addWatch(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watches += n
+	m.endIdle()
+}
+
 // replyIfNew returns a reply if the entry lacks ends or the current state of the
 // worker. Otherwise it returns channels that are closed when an end is added and
 // when a state is published. While delayed is set, a changed state is new only if
