lib/process: a limiter parses the addresses of members only when they change

The list is compared with that of the last reading first.

TestUnchangedPeers failed before (15 allocations for each reading).

--- a/lib/process/limiter.go
+++ b/lib/process/limiter.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,7 +78,9 @@
 	memory tally.Gauge
 	// peers returns the addresses of known members, as host:port.
 	peers func() []string
-	stop  context.CancelFunc
+	// readPeers are those of which known was made. Only updatePeers uses it.
+	readPeers []string
+	stop      context.CancelFunc
 
 	mu    sync.Mutex
 	conns map[*limitedConn]struct{}
@@ -172,8 +175,13 @@
 	if l.peers == nil {
 		return
 	}
+	addresses := l.peers()
+	if slices.Equal(addresses, l.readPeers) {
+		return
+	}
+	l.readPeers = addresses
 	known := map[netip.Addr]bool{}
-	for _, address := range l.peers() {
+	for _, address := range addresses {
 		if a, err := netip.ParseAddrPort(address); err == nil {
 			known[a.Addr().Unmap()] = true
 		}
--- a/lib/process/limiter_test.go
+++ b/lib/process/limiter_test.go
@@ -84,6 +84,23 @@
 	return l
 }
 
+// TestUnchangedPeers guards against members that parse the addresses of all others five
+// times a second.
+func TestUnchangedPeers(t *testing.T) {
+	is := is.New(t)
+	var peers []string
+	for i := range 300 {
+		peers = append(peers, fmt.Sprintf("10.0.%d.%d:7000", i/100, i%100))
+	}
+	l := NewLimiter(limitsOf(&wire.ServerLimits{}), func() []string { return peers }, slog.New(slog.DiscardHandler), tally.NoopScope)
+	l.Close()
+	is.Equal(testing.AllocsPerRun(10, l.updatePeers), 0.0)
+	peers = []string{"10.0.0.8:7000"}
+	l.updatePeers()
+	isKnown := func(ip string) bool { return l.isNear(&fakeConn{local: "10.0.0.1", remote: ip}) }
+	is.True(isKnown("10.0.0.8") && !isKnown("10.0.0.7"))
+}
+
 func limitsOf(cfg *wire.ServerLimits) Limits { return NewLimits(cfg) }
 
 // TestClosingOrder guards against a connection that is closed for others before one
