lib/lease: the end of an idle time brings the next tick within its interval

A tick that follows a launch at once is of no use: the launch checks what it depends on. It raced with the clock of TestStartQueuedDuringSuspensionIsNotSent under -race, as no tick came within 20 ms of a launch before.

--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -111,9 +111,10 @@
 		case <-ctx.Done():
 			return
 		case <-m.idleEnded:
+			timer.Reset(tickInterval)
 		case <-timer.C:
+			timer.Reset(m.tick())
 		}
-		timer.Reset(m.tick())
 	}
 }
 
@@ -141,7 +142,7 @@
 	return m.watches > 0 || m.shuttingDown || len(m.retired) > 0 || m.runCountLocked()+m.queuedCountLocked() > 0
 }
 
-// endIdle has the next tick begin if something depends on it from now on.
+// endIdle shortens the time until the next tick if something depends on it from now on.
 func (m *Manager) endIdle() {
 	if !m.idle || !m.isBusy() {
 		return
