--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -28,7 +28,12 @@
 }
 
 func (s knownWorker) sameShape(other knownWorker) bool {
-	return s.Capacity == other.Capacity && slices.Equal(s.Labels, other.Labels)
+	return sameShape(s.Candidate, other.Candidate)
+}
+
+// sameShape reports whether two workers have the same capacity and labels.
+func sameShape(a, b placement.Candidate) bool {
+	return a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
 }
 
 // endedJob is what is remembered of a job.
@@ -201,7 +206,9 @@
 	d.jobs[job.ID] = job
 	d.demandAt[job.Service] = now
 	d.logReceived(job)
-	d.recordWorkers(now)
+	if d.workersChanged {
+		d.recordWorkers(now)
+	}
 }
 
 // setExpectations sets the expected times and the objective of a new job.
@@ -299,7 +306,7 @@
 // recordWorkers records the capacity and labels of the present workers, and
 // drops those of workers that left longer ago than knownWorkerRetention.
 func (d *Dispatcher) recordWorkers(now time.Duration) {
-	d.recordedAt = now
+	d.recordedAt, d.workersChanged = now, false
 	for _, l := range d.links {
 		if l.hasState() && !l.unlisted {
 			d.recordWorker(l.reported.GetService(), knownWorker{l.shape(), now})
--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -112,8 +112,10 @@
 	// knownWorkers holds the capacity and labels of present and recent workers
 	// by service.
 	knownWorkers map[string][]knownWorker
-	// recordedAt is when the present workers were last recorded there.
-	recordedAt time.Duration
+	// recordedAt is when the present workers were last recorded there, and workersChanged
+	// is set if one has reported another capacity or other labels since.
+	recordedAt     time.Duration
+	workersChanged bool
 	// endedJobs maps the IDs of jobs that have ended to what is remembered of them.
 	endedJobs map[string]endedJob
 	// claiming holds, by ID, the submissions that ask other entries for their job.
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -179,10 +179,14 @@
 	}
 	l.speed = l.speed.withReport(reported, now)
 	l.logState(reported)
+	before, service := l.shape(), l.reported.GetService()
 	l.reported = reported
 	l.reportedAt = now
 	l.free = capacity.FromWire(reported.GetFree())
 	l.capacity = capacity.FromWire(reported.GetCapacity())
+	if service != reported.GetService() || !sameShape(before, l.shape()) {
+		l.d.workersChanged = true
+	}
 }
 
 // setMember records what the directory lists for the agent. If the agent's
