--- a/lib/job/durable_manager.go
+++ b/lib/job/durable_manager.go
@@ -149,7 +149,7 @@
 		return StoreOutcome{State: NotStored, Reason: reasonLeaseExpired}
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	q := &wire.KeepRequest{Owner: m.member.Owner(), Job: toKeptJob(j)}
 	reply, err := m.store.Keep(ctx, q)
