lib/job: a shutdown stops its jobs at once and starts none in their place

Cause: the shutdown stopped one job after another, each with a placement of all that wait, so that capacity which a stopped job returned went to one that was stopped next. Change: all jobs are stopped under one lock, and none is placed.

--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -243,7 +243,8 @@
 		select {
 		case <-job.done:
 		case <-ctx.Done():
-			d.abandon(job, reasonShuttingDown)
+			d.abandonAll(reasonShuttingDown)
+			return
 		}
 	}
 }
@@ -263,10 +264,14 @@
 	return open
 }
 
-// abandon stops a job for the given reason.
-func (d *Dispatcher) abandon(job *activeJob, reason string) {
+// abandonAll stops the open best-effort jobs for the given reason. The capacity that
+// becomes free is left to the next tick, as jobs that wait for it are stopped, too.
+func (d *Dispatcher) abandonAll(reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.finish(job, d.stoppedOutcome(job, reason))
-	d.place(d.clock.Now())
+	for _, job := range d.jobs {
+		if job.durable == nil {
+			d.finish(job, d.stoppedOutcome(job, reason))
+		}
+	}
 }
--- a/lib/job/dispatcher_test.go
+++ b/lib/job/dispatcher_test.go
@@ -362,6 +362,46 @@
 	})
 }
 
+// TestShutdownStartsNothing guards against jobs that an entry starts in the place of those
+// that it has just stopped at the end of its grace period, so that their callers are told
+// that they have run. Its time is real, as the work of the shutdown takes some.
+func TestShutdownStartsNothing(t *testing.T) {
+	is := is.New(t)
+	var agents []*fakeAgent
+	for i := range 76 {
+		agents = append(agents, newFakeAgent(fmt.Sprintf("a%d", i), 8000, doneAfter(time.Minute)))
+	}
+	d := newTestDispatcher(t, agents...)
+	time.Sleep(time.Second) // all agents have answered
+	var outs []chan Outcome
+	for i := range 400 {
+		j := newJob(fmt.Sprintf("j%d", i), 4)
+		j.Kind, j.Deadline, j.Steps[0].Estimate = &wire.Kind{Name: "long"}, time.Now().Add(time.Hour), time.Minute
+		outs = append(outs, submit(t.Context(), d, j))
+	}
+	time.Sleep(time.Second)
+	d.mu.Lock()
+	waiting := 400 - len(d.jobs) // are refused already
+	for _, job := range d.jobs {
+		if job.hasNotRun() {
+			waiting++
+		}
+	}
+	d.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	began := time.Now()
+	d.Shutdown(ctx)
+	notRun := 0
+	for _, out := range outs {
+		if (<-out).State == NotRun {
+			notRun++
+		}
+	}
+	t.Logf("%d jobs are answered within %v", len(outs), time.Since(began))
+	is.Equal(notRun, waiting)
+}
+
 // TestShutdownAnswersResubmission guards against a resubmitted job that gets no
 // answer when its entry ends, because it waits for the runs of the earlier attempt.
 func TestShutdownAnswersResubmission(t *testing.T) {
