lib/lease, lib/job: count claims and measure what they take

An agent reserves the capacity of a run while its job is claimed; neither the number of claims nor their time could be read. lease_claims counts them by outcome, lease_asked_to_claimed is the time of one, job_claims{noReply} counts calls without an answer.

--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -40,7 +40,8 @@
 	client          *http.Client
 	clock           clock.Clock
 	log             *slog.Logger
-	// asked counts claims that were not granted by one owner at once, by reason.
+	// asked counts claims that were not granted at once, and calls without an answer,
+	// by reason.
 	asked *metric.Counters
 	// grantHere decides claims at this member, and isLate reports whether this process
 	// has too little processor time.
--- a/lib/job/peer.go
+++ b/lib/job/peer.go
@@ -82,6 +82,9 @@
 	if err != nil && a.clock.Now()-began > acquireTimeout+maxTimerLag { // this process was not running
 		return reply, err
 	}
+	if err != nil && ctx.Err() == nil {
+		a.asked.Inc("noReply")
+	}
 	a.recordAnswer(ctx, p, err)
 	return reply, err
 }
--- a/lib/lease/claim.go
+++ b/lib/lease/claim.go
@@ -22,7 +22,9 @@
 	job := jobOf(r.key.task)
 	ctx, c, isOpen := m.beginClaim(r.session, job)
 	if !isOpen {
+		began := m.cfg.Clock.Now()
 		c.granted = m.cfg.Claim(ctx, job, r.claimant)
+		m.metrics.recordClaim(c.granted, m.cfg.Clock.Now()-began)
 		m.endClaim(r.session, job, c)
 	}
 	<-c.decided
--- a/lib/lease/metrics.go
+++ b/lib/lease/metrics.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"skylarklane.example/lib/metric"
@@ -39,6 +41,10 @@
 	queued  tally.Counter
 	waiting tally.Gauge
 	waited  tally.Histogram
+	// claims counts the claims of jobs, by outcome, and claimed is the time that one
+	// takes.
+	claims  *metric.Counters
+	claimed tally.Histogram
 	// starting is the time from the acceptance of a run to its start, lasting
 	// that from the start to the end.
 	starting tally.Histogram
@@ -65,11 +71,22 @@
 			scope.Gauge("free_memory_mb"),
 			scope.Gauge("free_accelerators"),
 		},
+		claims:   metric.NewReasonCounters(scope, "claims"),
+		claimed:  metric.NewDurationHistogram(scope, "asked_to_claimed"),
 		starting: metric.NewDurationHistogram(scope, "accepted_to_started"),
 		lasting:  metric.NewDurationHistogram(scope, "started_to_ended"),
 	}
 }
 
+func (m metrics) recordClaim(granted bool, took time.Duration) {
+	m.claimed.RecordDuration(took)
+	if !granted {
+		m.claims.Inc("denied")
+		return
+	}
+	m.claims.Inc("granted")
+}
+
 func (m metrics) state(runs, waiting int, free *wire.Resources) {
 	m.waiting.Update(float64(waiting))
 	m.running.Update(float64(runs))
