--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -586,3 +586,65 @@
 		ended[one.task] = latest(ended[one.task], one.to)
 	}
 }
+
+// countedCalls counts the calls to agents that a member makes, by the agent. The agents
+// answer unless it is set not to hear them.
+type countedCalls struct {
+	next http.RoundTripper
+	deaf bool
+
+	mu     sync.Mutex
+	agents map[string]int
+}
+
+// counts returns the number of calls, and of agents that were called.
+func (c *countedCalls) counts() (calls, agents int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.agents {
+		calls += n
+	}
+	return calls, len(c.agents)
+}
+
+// countCalls has the calls of a member counted.
+func (e *fakeEntries) countCalls(a *Asker, deaf bool) *countedCalls {
+	c := &countedCalls{next: e, deaf: deaf, agents: map[string]int{}}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.client = &http.Client{Transport: c}
+	return c
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countedCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.mu.Lock()
+	c.agents[r.URL.Host]++
+	c.mu.Unlock()
+	if c.deaf {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return c.next.RoundTrip(r)
+}
+
+// TestClaimTakesOneRoundTrip guards against runs that wait for one owner of an id after
+// the other, while the worker's capacity is reserved for them.
+func TestClaimTakesOneRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(500*time.Millisecond))
+		a := f.addOwner(t, "v")
+		calls := f.countCalls(a, false)
+		time.Sleep(5 * time.Second)
+		id := "0"
+		for i := 1; slices.ContainsFunc(a.currentOwners(id), a.isSelf); i++ {
+			id = fmt.Sprint(i)
+		}
+		began := time.Now()
+		is.True(a.Claim(t.Context(), id, f.registries["a"].self))
+		is.Equal(time.Since(began), 2*time.Millisecond)
+		made, _ := calls.counts()
+		is.Equal(made, ownersPerID)
+	})
+}
