lib/job: an entry short of processor time makes few calls about claims

Cause: eight of 13 entries are killed at 2.5 s, and the three smallest (0.19 cores) get more than they can process. A call about a claim that an entry was too late to read counted as the agent's silence; the ids moved to the next agents, the entry claimed its open jobs there, with new connections, and was late again. Each silent agent was probed three times a second besides, also during the 2 s in which an answer counts for nothing.

Change: - An entry repeats claims in one call an owner each 0.4 s, at the owners that the directory names; an unanswered repetition says nothing of the owner. The agents that have claimed a job repeat the claim at owners that come next where one doesn't answer. - Silence moves the ids of an eighth of the agents at most. Where more are silent, it is this member that is cut off or short of processor time. - A silent member is probed from 2 s on, each second. - The directory is hashed and sorted only when it has changed.

--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -20,7 +20,7 @@
 	// viewInterval is how often the directory is read and moved claims are repeated.
 	viewInterval = 100 * time.Millisecond
 	// probeInterval is how often a silent member is asked whether it answers again.
-	probeInterval = 200 * time.Millisecond
+	probeInterval = time.Second
 	// moveTime is how long an id whose owner has changed is claimed at its former owner,
 	// too: until every member has learned of the change and entries have repeated their
 	// claims.
@@ -61,10 +61,17 @@
 	// moveTime.
 	view   *ownerView
 	former []formerView
+	// kept holds the claims that this member has made and that go on.
+	kept map[keptKey]*keptClaim
+	// listedOwners is view with the members that don't answer.
+	listedOwners *ownerView
 	// listed holds the entries and agents of the directory, and silent is the number of
-	// agents that don't answer.
-	listed map[memberKey]bool
-	silent int
+	// agents that don't answer. lastEntries and lastAgents are the lists, and
+	// silenceChanged is set if another member doesn't answer, or answers again, since.
+	listed                  map[memberKey]bool
+	silent                  int
+	lastEntries, lastAgents []*wire.Member
+	silenceChanged          bool
 	// viewedAt is when the directory was last read. Until startedUntil and resumedUntil
 	// more members are asked, as this process has started or was suspended.
 	viewedAt     time.Duration
@@ -86,7 +93,7 @@
 	a := &Asker{
 		claims: claims, entries: entries, owners: owners, client: client, clock: c, log: log,
 		asked: metric.NewReasonCounters(scope, "job_claims"), isLate: func() bool { return false },
-		ctx: ctx, cancel: cancel, peers: map[memberKey]*peer{}, view: newOwnerView(nil),
+		ctx: ctx, cancel: cancel, peers: map[memberKey]*peer{}, kept: map[keptKey]*keptClaim{}, view: &ownerView{}, listedOwners: &ownerView{},
 	}
 	a.grantHere = func(id string, by *wire.Member, former *wire.Incarnation) *wire.Member {
 		holder, _ := claims.grant(id, by, former, false)
@@ -112,14 +119,20 @@
 			return
 		case <-ticker.C:
 			a.updateView()
+			a.repeatKept()
 			a.probe()
 		}
 	}
 }
 
-// Claim claims a job for an entry, and reports whether no other entry has it.
+// Claim claims a job for an entry, and reports whether no other entry has it. Until ctx
+// ends, the claim is repeated where the owners of the id change.
 func (a *Asker) Claim(ctx context.Context, id string, by *wire.Member) bool {
-	return a.ask(ctx, id, by, nil) == nil
+	if a.ask(ctx, id, by, nil) != nil {
+		return false
+	}
+	a.keep(ctx, id, by)
+	return true
 }
 
 // ask claims an id for an entry at its owners, and at the former ones if the id has moved
@@ -249,33 +262,47 @@
 	return nil
 }
 
-// updateView reads the directory. Agents that leave or don't answer own no ids.
+// updateView reads the directory. Agents that leave or don't answer own no ids. Where
+// many don't, this member is cut off or has no processor time, and the others go on to
+// own theirs.
 func (a *Asker) updateView() {
 	entries, agents := a.entries(), a.owners()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var owners []*wire.Member
+	now := a.clock.Now()
+	a.checkSuspension(now)
+	a.viewedAt = now
+	for len(a.former) > 0 && now >= a.former[0].until {
+		a.former = a.former[1:]
+	}
+	if !a.silenceChanged && slices.Equal(entries, a.lastEntries) && slices.Equal(agents, a.lastAgents) {
+		return
+	}
+	a.silenceChanged, a.lastEntries, a.lastAgents = false, entries, agents
 	a.silent = 0
 	a.listed = make(map[memberKey]bool, len(entries)+len(agents))
 	for _, m := range entries {
 		a.listed[keyOfMember(m)] = true
 	}
+	var staying []*wire.Member
 	for _, m := range agents {
 		a.listed[keyOfMember(m)] = true
-		switch {
-		case !a.answers(m):
+		if !a.answers(m) {
 			a.silent++
-		case !m.GetLeaving():
-			owners = append(owners, m)
+		}
+		if !m.GetLeaving() {
+			staying = append(staying, m)
 		}
 	}
-	now := a.clock.Now()
-	a.checkSuspension(now)
-	a.viewedAt = now
-	for len(a.former) > 0 && now >= a.former[0].until {
-		a.former = a.former[1:]
-	}
-	next := newOwnerView(owners)
+	a.listedOwners = newOwnerView(staying, func(*wire.Member) bool { return true })
+	excluded := 0
+	next := newOwnerView(staying, func(m *wire.Member) bool {
+		if a.answers(m) || excluded > len(agents)/8 {
+			return true
+		}
+		excluded++
+		return false
+	})
 	if next.equal(a.view) {
 		return
 	}
@@ -354,11 +381,11 @@
 	return len(a.view.members) > 0
 }
 
-// currentOwners returns the agents that own an id now.
-func (a *Asker) currentOwners(id string) []*wire.Member {
+// listedOwnersOf returns the agents that own an id if all answer.
+func (a *Asker) listedOwnersOf(id string) []*wire.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.view.owners(hashOf(id), ownersPerID)
+	return a.listedOwners.owners(hashOf(id), ownersPerID)
 }
 
 // answers reports whether a member is listed and has answered the last call, if there
--- a/lib/job/claim_table.go
+++ b/lib/job/claim_table.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// claimRetention is how long a claim is remembered. Entries repeat those of their
-	// open jobs after firstReclaim, and then each reclaimInterval.
+	// claimRetention is how long a claim is remembered. Entries look each firstReclaim for
+	// open jobs whose claims are not repeated yet, and repeat them each reclaimInterval.
 	claimRetention  = 30 * time.Second
-	firstReclaim    = 500 * time.Millisecond
+	firstReclaim    = 400 * time.Millisecond
 	reclaimInterval = 10 * time.Second
 	// maxClaims bounds the claims in a table, each of which takes some 200 bytes.
 	maxClaims = 1 << 15
--- a/lib/job/owner_view.go
+++ b/lib/job/owner_view.go
@@ -29,15 +29,25 @@
 	hashes  []uint64
 }
 
-func newOwnerView(members []*wire.Member) *ownerView {
-	v := &ownerView{members: slices.Clone(members)}
-	slices.SortFunc(v.members, func(a, b *wire.Member) int {
-		idA, idB := a.GetIncarnation().GetId(), b.GetIncarnation().GetId()
-		return cmp.Or(cmp.Compare(hashOf(idA), hashOf(idB)), strings.Compare(idA, idB))
+// newOwnerView returns the view of the members that answer.
+func newOwnerView(members []*wire.Member, answers func(*wire.Member) bool) *ownerView {
+	type hashed struct {
+		*wire.Member
+		hash uint64
+	}
+	all := make([]hashed, 0, len(members))
+	for _, m := range members {
+		all = append(all, hashed{m, hashOf(m.GetIncarnation().GetId())})
+	}
+	slices.SortFunc(all, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.GetIncarnation().GetId(), b.GetIncarnation().GetId()))
 	})
-	v.members = v.members[:min(len(v.members), maxOwners)]
-	for _, m := range v.members {
-		v.hashes = append(v.hashes, hashOf(m.GetIncarnation().GetId()))
+	v := &ownerView{}
+	for _, m := range all {
+		if len(v.members) < maxOwners && answers(m.Member) {
+			v.members = append(v.members, m.Member)
+			v.hashes = append(v.hashes, m.hash)
+		}
 	}
 	return v
 }
--- a/lib/job/peer.go
+++ b/lib/job/peer.go
@@ -114,6 +114,7 @@
 		return
 	}
 	changed := p.silent != (err != nil)
+	a.silenceChanged = a.silenceChanged || changed
 	p.silent = err != nil
 	if p.silent && changed {
 		p.silentSince = now
@@ -160,7 +161,7 @@
 		switch {
 		case !a.listed[key] && now-p.usedAt > peerRetention:
 			delete(a.peers, key)
-		case a.listed[key] && p.silent && !p.probing:
+		case a.listed[key] && p.silent && !p.probing && now-p.silentSince >= minSilence:
 			p.probing = true
 			a.calls.Go(func() { a.probeOne(p) })
 		}
--- a/lib/job/registry.go
+++ b/lib/job/registry.go
@@ -57,7 +57,7 @@
 
 // repeatLoop repeats the claims of open jobs.
 func (g *Registry) repeatLoop(ctx context.Context) {
-	ticker := time.NewTicker(viewInterval)
+	ticker := time.NewTicker(firstReclaim)
 	defer ticker.Stop()
 	for {
 		select {
@@ -132,14 +132,14 @@
 func (g *Registry) reclaim() {
 	open := g.d.openJobs()
 	for _, due := range g.dueClaims(open) {
-		g.calls.Go(func() { _, _ = g.acquire(g.ctx, g.peer(due.owner), due.ids, g.self, nil) })
+		g.calls.Go(func() { g.repeat(due) })
 	}
 }
 
-// dueClaims are open jobs that have to be claimed again at an owner.
+// dueClaims are jobs that have to be claimed again for an entry at an owner.
 type dueClaims struct {
-	owner *wire.Member
-	ids   []string
+	owner, by *wire.Member
+	ids       []string
 }
 
 // dueClaims returns the open jobs whose claims have to be repeated, by owner, and
@@ -153,20 +153,20 @@
 	due := map[memberKey]*dueClaims{}
 	for _, id := range open {
 		last, found := g.indexed[id]
-		owners := g.currentOwners(id)
+		owners := g.listedOwnersOf(id)
 		if len(owners) == 0 || found && slices.EqualFunc(last.owners, owners, isSame) && now-last.at < reclaimInterval {
 			indexed[id] = last
 			continue
 		}
 		if !found {
-			indexed[id] = indexedJob{owners, now - reclaimInterval + firstReclaim}
+			indexed[id] = indexedJob{owners, now - reclaimInterval}
 			continue
 		}
 		indexed[id] = indexedJob{owners, now}
 		for _, owner := range owners {
 			key := keyOfMember(owner)
 			if due[key] == nil {
-				due[key] = &dueClaims{owner: owner}
+				due[key] = &dueClaims{owner: owner, by: g.self}
 			}
 			due[key].ids = append(due[key].ids, id)
 		}
--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -324,7 +324,7 @@
 
 // ownerOf returns the owner of an id as an entry knows it.
 func (f *registryFleet) ownerOf(entry, id string) string {
-	return f.registries[entry].currentOwners(id)[0].GetIncarnation().GetId()
+	return f.registries[entry].listedOwnersOf(id)[0].GetIncarnation().GetId()
 }
 
 // idOwnedBy returns an id of which an agent is the owner.
@@ -449,6 +449,32 @@
 	}
 }
 
+// TestCopyAfterOwnersLost guards against two runs of a job at the same time, where its
+// owners were lost one after the other since it was claimed.
+func TestCopyAfterOwnersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(10*time.Second))
+		f.addOwners()
+		time.Sleep(5 * time.Second)
+		f.request("a", "0")
+		time.Sleep(300 * time.Millisecond)
+		for _, owner := range f.registries["a"].listedOwnersOf("0") {
+			f.set(f.silent, owner.GetIncarnation().GetId(), true)
+			for _, a := range f.agents { // they notice it by other jobs
+				for i := range 20 {
+					a.claim(t.Context(), fmt.Sprint("other", i), f.registries["c"].self)
+				}
+			}
+			time.Sleep(moveTime + viewInterval)
+		}
+		f.request("b", "0")
+		time.Sleep(time.Second)
+		is.Equal(f.started(), 2) // the copy has started nothing
+		f.checkOverlaps()
+	})
+}
+
 // TestCopiesAtStart guards against two runs of a job at the same time, where an entry
 // has started with a directory that another has yet to learn.
 func TestCopiesAtStart(t *testing.T) {
@@ -638,7 +664,7 @@
 		calls := f.countCalls(a, false)
 		time.Sleep(5 * time.Second)
 		id := "0"
-		for i := 1; slices.ContainsFunc(a.currentOwners(id), a.isSelf); i++ {
+		for i := 1; slices.ContainsFunc(a.listedOwnersOf(id), a.isSelf); i++ {
 			id = fmt.Sprint(i)
 		}
 		began := time.Now()
@@ -648,3 +674,31 @@
 		is.Equal(made, ownersPerID)
 	})
 }
+
+// TestCallsOfBusyEntry guards against an entry without processor time that takes its own
+// lateness for the silence of one agent after the other, claims its jobs at those that
+// come next, and spends what it has left on that.
+func TestCallsOfBusyEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(time.Minute))
+		for i := range 46 {
+			f.addOwner(t, fmt.Sprint("agent", i))
+		}
+		g := f.add(t, "busy", f.n)
+		calls := f.countCalls(g.Asker, true)
+		time.Sleep(5 * time.Second)
+		const seconds = 15
+		for i := range 10 * seconds {
+			if i < 20 {
+				f.request("busy", fmt.Sprint("job", i))
+			}
+			g.lookUp(t.Context(), fmt.Sprint("refused", i), g.self)
+			time.Sleep(100 * time.Millisecond)
+		}
+		const perOwner = 1 // a second, beside a call for each lookup
+		made, agents := calls.counts()
+		is.True(made <= 10*seconds+perOwner*maxOwners*seconds)
+		is.True(agents <= 2*maxOwners)
+	})
+}
