--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -20,11 +20,14 @@
 	// viewInterval is how often the directory is read and moved claims are repeated.
 	viewInterval = 100 * time.Millisecond
 	// probeInterval is how often a silent member is asked whether it answers again.
-	probeInterval = 200 * time.Millisecond
+	probeInterval = time.Second
 	// moveTime is how long an id whose owner has changed is claimed at its former owner,
 	// too: until every member has learned of the change and entries have repeated their
 	// claims.
 	moveTime = 3 * time.Second
+	// oppositionRetries is how often a member is asked again that denies what the first
+	// owner has granted, each claimPoll.
+	oppositionRetries = 3
 	// startTime is how long a member that has started claims ids at ownersAtStart agents,
 	// and one that was suspended at all entries: until every member has a directory that
 	// is at least as new as its own.
@@ -40,7 +43,8 @@
 	client          *http.Client
 	clock           clock.Clock
 	log             *slog.Logger
-	// asked counts claims that were not granted by one owner at once, by reason.
+	// asked counts claims that were not granted at once, and calls without an answer,
+	// by reason.
 	asked *metric.Counters
 	// grantHere decides claims at this member, and isLate reports whether this process
 	// has too little processor time.
@@ -57,13 +61,16 @@
 	// moveTime.
 	view   *ownerView
 	former []formerView
+	// kept holds the claims that this member has made and that go on.
+	kept map[keptKey]*keptClaim
+	// listedOwners is view with the members that don't answer.
+	listedOwners *ownerView
 	// listed holds the entries and agents of the directory, and silent is the number of
-	// agents that don't answer.
-	listed map[memberKey]bool
-	silent int
-	// readEntries and readAgents are what the directory listed when the view was last
-	// computed, and silenceChanged is set if an agent has begun or ended to answer since.
-	readEntries, readAgents []*wire.Member
+	// agents that don't answer. lastEntries and lastAgents are the lists, and
+	// silenceChanged is set if another member doesn't answer, or answers again, since.
+	listed                  map[memberKey]bool
+	silent                  int
+	lastEntries, lastAgents []*wire.Member
 	silenceChanged          bool
 	// viewedAt is when the directory was last read. Until startedUntil and resumedUntil
 	// more members are asked, as this process has started or was suspended.
@@ -86,7 +93,7 @@
 	a := &Asker{
 		claims: claims, entries: entries, owners: owners, client: client, clock: c, log: log,
 		asked: metric.NewReasonCounters(scope, "job_claims"), isLate: func() bool { return false },
-		ctx: ctx, cancel: cancel, peers: map[memberKey]*peer{}, view: newOwnerView(nil),
+		ctx: ctx, cancel: cancel, peers: map[memberKey]*peer{}, kept: map[keptKey]*keptClaim{}, view: &ownerView{}, listedOwners: &ownerView{},
 	}
 	a.grantHere = func(id string, by *wire.Member, former *wire.Incarnation) *wire.Member {
 		holder, _ := claims.grant(id, by, former, false)
@@ -112,14 +119,20 @@
 			return
 		case <-ticker.C:
 			a.updateView()
+			a.repeatKept()
 			a.probe()
 		}
 	}
 }
 
-// Claim claims a job for an entry, and reports whether no other entry has it.
+// Claim claims a job for an entry, and reports whether no other entry has it. Until ctx
+// ends, the claim is repeated where the owners of the id change.
 func (a *Asker) Claim(ctx context.Context, id string, by *wire.Member) bool {
-	return a.ask(ctx, id, by, nil) == nil
+	if a.ask(ctx, id, by, nil) != nil {
+		return false
+	}
+	a.keep(ctx, id, by)
+	return true
 }
 
 // ask claims an id for an entry at its owners, and at the former ones if the id has moved
@@ -163,47 +176,70 @@
 	return reply.GetResults()[0].GetHolder(), true
 }
 
+// vote is the answer of a member to a claim.
+type vote struct {
+	member   *wire.Member
+	holder   *wire.Member
+	answered bool
+}
+
+// decided returns the first answer. Of two claims at a time, it denies the same one to
+// both, rather than each of the two being denied by another member.
+func decided(votes []vote) (v vote) {
+	for _, v = range votes {
+		if v.answered {
+			return v
+		}
+	}
+	return vote{}
+}
+
+// isOpposed reports whether a claim that one member has granted is denied by another.
+func (v vote) isOpposed(votes []vote) bool {
+	return v.answered && v.holder == nil && slices.ContainsFunc(votes, func(v vote) bool { return v.holder != nil })
+}
+
 // askAll claims an id at those of the list that answer, but not at the entry itself. The
-// first one is asked before the others, so that of two claims at a time one is denied by
-// it, rather than each by another owner. If one of the others denies the claim, those
-// that have granted it are told the holder.
+// answer of the first one counts. If another denies what that has granted, it is asked
+// again: the other claim is withdrawn if it was made at the same time. Those that have
+// granted a claim that is denied are told the holder.
 func (a *Asker) askAll(ctx context.Context, asked []*wire.Member, id string, by *wire.Member, former *wire.Incarnation) (holder *wire.Member, answered bool) {
-	var calls sync.WaitGroup
-	var mu sync.Mutex
-	var granted []*wire.Member
-	ask := func(m *wire.Member) {
-		other, ok := a.askOne(ctx, m, id, by, former)
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case other != nil:
-			holder = other
-		case ok:
-			granted = append(granted, m)
+	var votes []vote
+	for _, m := range asked {
+		if !isSame(m, by) {
+			votes = append(votes, vote{member: m})
 		}
 	}
-	others := slices.DeleteFunc(slices.Clone(asked), func(m *wire.Member) bool { return isSame(m, by) })
-	if len(others) > 0 {
-		ask(others[0])
-		others = others[1:]
+	a.askEach(ctx, votes, id, by, former, func(vote) bool { return true })
+	for range oppositionRetries {
+		if !decided(votes).isOpposed(votes) {
+			break
+		}
+		sleep(ctx, claimPoll)
+		a.askEach(ctx, votes, id, by, former, func(v vote) bool { return v.holder != nil })
 	}
-	if holder != nil {
-		return holder, true
+	first := decided(votes)
+	if first.isOpposed(votes) {
+		first = votes[slices.IndexFunc(votes, func(v vote) bool { return v.holder != nil })]
 	}
-	for _, m := range others {
-		calls.Go(func() { ask(m) })
+	if first.holder == nil {
+		return nil, first.answered
 	}
-	calls.Wait()
-	if holder == nil {
-		return nil, len(granted) > 0
-	}
-	for _, m := range granted {
-		if !wire.Same(m.GetIncarnation(), holder.GetIncarnation()) {
-			calls.Go(func() { a.askOne(ctx, m, id, holder, by.GetIncarnation()) })
+	a.askEach(ctx, votes, id, first.holder, by.GetIncarnation(), func(v vote) bool {
+		return v.answered && v.holder == nil && !isSame(v.member, first.holder)
+	})
+	return first.holder, true
+}
+
+// askEach claims an id at the members that are to be asked, and records their votes.
+func (a *Asker) askEach(ctx context.Context, votes []vote, id string, by *wire.Member, former *wire.Incarnation, isAsked func(vote) bool) {
+	var calls sync.WaitGroup
+	for i := range votes {
+		if v := &votes[i]; isAsked(*v) {
+			calls.Go(func() { v.holder, v.answered = a.askOne(ctx, v.member, id, by, former) })
 		}
 	}
 	calls.Wait()
-	return holder, true
 }
 
 // lookUp returns the other entry that has claimed a job at an owner of its id, nil if
@@ -226,7 +262,9 @@
 	return nil
 }
 
-// updateView reads the directory. Agents that leave or don't answer own no ids.
+// updateView reads the directory. Agents that leave or don't answer own no ids. Where
+// many don't, this member is cut off or has no processor time, and the others go on to
+// own theirs.
 func (a *Asker) updateView() {
 	entries, agents := a.entries(), a.owners()
 	a.mu.Lock()
@@ -237,39 +275,42 @@
 	for len(a.former) > 0 && now >= a.former[0].until {
 		a.former = a.former[1:]
 	}
-	if !a.silenceChanged && slices.Equal(entries, a.readEntries) && slices.Equal(agents, a.readAgents) {
-		return
-	}
-	a.readEntries, a.readAgents, a.silenceChanged = entries, agents, false
-	next := newOwnerView(a.listOwners(entries, agents))
-	if next.equal(a.view) {
+	if !a.silenceChanged && slices.Equal(entries, a.lastEntries) && slices.Equal(agents, a.lastAgents) {
 		return
 	}
-	if len(a.view.members) == 0 { // others may have an older directory, which this member never had
-		a.startedUntil = now + startTime
-	}
-	a.former = append(a.former, formerView{a.view, now + moveTime})
-	a.view = next
-}
-
-// listOwners records the members of the directory and returns the agents that own ids.
-func (a *Asker) listOwners(entries, agents []*wire.Member) []*wire.Member {
-	var owners []*wire.Member
+	a.silenceChanged, a.lastEntries, a.lastAgents = false, entries, agents
 	a.silent = 0
 	a.listed = make(map[memberKey]bool, len(entries)+len(agents))
 	for _, m := range entries {
 		a.listed[keyOfMember(m)] = true
 	}
+	var staying []*wire.Member
 	for _, m := range agents {
 		a.listed[keyOfMember(m)] = true
-		switch {
-		case !a.answers(m):
+		if !a.answers(m) {
 			a.silent++
-		case !m.GetLeaving():
-			owners = append(owners, m)
+		}
+		if !m.GetLeaving() {
+			staying = append(staying, m)
 		}
 	}
-	return owners
+	a.listedOwners = newOwnerView(staying, func(*wire.Member) bool { return true })
+	excluded := 0
+	next := newOwnerView(staying, func(m *wire.Member) bool {
+		if a.answers(m) || excluded > len(agents)/8 {
+			return true
+		}
+		excluded++
+		return false
+	})
+	if next.equal(a.view) {
+		return
+	}
+	if len(a.view.members) == 0 { // others may have an older directory, which this member never had
+		a.startedUntil = now + startTime
+	}
+	a.former = append(a.former, formerView{a.view, now + moveTime})
+	a.view = next
 }
 
 // isSelf reports whether a listed member is this one.
@@ -340,11 +381,11 @@
 	return len(a.view.members) > 0
 }
 
-// currentOwners returns the agents that own an id now.
-func (a *Asker) currentOwners(id string) []*wire.Member {
+// listedOwnersOf returns the agents that own an id if all answer.
+func (a *Asker) listedOwnersOf(id string) []*wire.Member {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.view.owners(hashOf(id), ownersPerID)
+	return a.listedOwners.owners(hashOf(id), ownersPerID)
 }
 
 // answers reports whether a member is listed and has answered the last call, if there
--- a/lib/job/owner_view.go
+++ b/lib/job/owner_view.go
@@ -29,22 +29,25 @@
 	hashes  []uint64
 }
 
-func newOwnerView(members []*wire.Member) *ownerView {
+// newOwnerView returns the view of the members that answer.
+func newOwnerView(members []*wire.Member, answers func(*wire.Member) bool) *ownerView {
 	type hashed struct {
 		*wire.Member
 		hash uint64
 	}
-	order := make([]hashed, 0, len(members))
+	all := make([]hashed, 0, len(members))
 	for _, m := range members {
-		order = append(order, hashed{m, hashOf(m.GetIncarnation().GetId())})
+		all = append(all, hashed{m, hashOf(m.GetIncarnation().GetId())})
 	}
-	slices.SortFunc(order, func(a, b hashed) int {
+	slices.SortFunc(all, func(a, b hashed) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), strings.Compare(a.GetIncarnation().GetId(), b.GetIncarnation().GetId()))
 	})
 	v := &ownerView{}
-	for _, m := range order[:min(len(order), maxOwners)] {
-		v.members = append(v.members, m.Member)
-		v.hashes = append(v.hashes, m.hash)
+	for _, m := range all {
+		if len(v.members) < maxOwners && answers(m.Member) {
+			v.members = append(v.members, m.Member)
+			v.hashes = append(v.hashes, m.hash)
+		}
 	}
 	return v
 }
--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -324,7 +324,7 @@
 
 // ownerOf returns the owner of an id as an entry knows it.
 func (f *registryFleet) ownerOf(entry, id string) string {
-	return f.registries[entry].currentOwners(id)[0].GetIncarnation().GetId()
+	return f.registries[entry].listedOwnersOf(id)[0].GetIncarnation().GetId()
 }
 
 // idOwnedBy returns an id of which an agent is the owner.
@@ -449,6 +449,32 @@
 	}
 }
 
+// TestCopyAfterOwnersLost guards against two runs of a job at the same time, where its
+// owners were lost one after the other since it was claimed.
+func TestCopyAfterOwnersLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(10*time.Second))
+		f.addOwners()
+		time.Sleep(5 * time.Second)
+		f.request("a", "0")
+		time.Sleep(300 * time.Millisecond)
+		for _, owner := range f.registries["a"].listedOwnersOf("0") {
+			f.set(f.silent, owner.GetIncarnation().GetId(), true)
+			for _, a := range f.agents { // they notice it by other jobs
+				for i := range 20 {
+					a.claim(t.Context(), fmt.Sprint("other", i), f.registries["c"].self)
+				}
+			}
+			time.Sleep(moveTime + viewInterval)
+		}
+		f.request("b", "0")
+		time.Sleep(time.Second)
+		is.Equal(f.started(), 2) // the copy has started nothing
+		f.checkOverlaps()
+	})
+}
+
 // TestCopiesAtStart guards against two runs of a job at the same time, where an entry
 // has started with a directory that another has yet to learn.
 func TestCopiesAtStart(t *testing.T) {
@@ -586,3 +612,93 @@
 		ended[one.task] = latest(ended[one.task], one.to)
 	}
 }
+
+// countedCalls counts the calls to agents that a member makes, by the agent. The agents
+// answer unless it is set not to hear them.
+type countedCalls struct {
+	next http.RoundTripper
+	deaf bool
+
+	mu     sync.Mutex
+	agents map[string]int
+}
+
+// counts returns the number of calls, and of agents that were called.
+func (c *countedCalls) counts() (calls, agents int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.agents {
+		calls += n
+	}
+	return calls, len(c.agents)
+}
+
+// countCalls has the calls of a member counted.
+func (e *fakeEntries) countCalls(a *Asker, deaf bool) *countedCalls {
+	c := &countedCalls{next: e, deaf: deaf, agents: map[string]int{}}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.client = &http.Client{Transport: c}
+	return c
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countedCalls) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.mu.Lock()
+	c.agents[r.URL.Host]++
+	c.mu.Unlock()
+	if c.deaf {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return c.next.RoundTrip(r)
+}
+
+// TestClaimTakesOneRoundTrip guards against runs that wait for one owner of an id after
+// the other, while the worker's capacity is reserved for them.
+func TestClaimTakesOneRoundTrip(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(500*time.Millisecond))
+		a := f.addOwner(t, "v")
+		calls := f.countCalls(a, false)
+		time.Sleep(5 * time.Second)
+		id := "0"
+		for i := 1; slices.ContainsFunc(a.listedOwnersOf(id), a.isSelf); i++ {
+			id = fmt.Sprint(i)
+		}
+		began := time.Now()
+		is.True(a.Claim(t.Context(), id, f.registries["a"].self))
+		is.Equal(time.Since(began), 2*time.Millisecond)
+		made, _ := calls.counts()
+		is.Equal(made, ownersPerID)
+	})
+}
+
+// TestCallsOfBusyEntry guards against an entry without processor time that takes its own
+// lateness for the silence of one agent after the other, claims its jobs at those that
+// come next, and spends what it has left on that.
+func TestCallsOfBusyEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(time.Minute))
+		for i := range 46 {
+			f.addOwner(t, fmt.Sprint("agent", i))
+		}
+		g := f.add(t, "busy", f.n)
+		calls := f.countCalls(g.Asker, true)
+		time.Sleep(5 * time.Second)
+		const seconds = 15
+		for i := range 10 * seconds {
+			if i < 20 {
+				f.request("busy", fmt.Sprint("job", i))
+			}
+			g.lookUp(t.Context(), fmt.Sprint("refused", i), g.self)
+			time.Sleep(100 * time.Millisecond)
+		}
+		const perOwner = 1 // a second, beside a call for each lookup
+		made, agents := calls.counts()
+		is.True(made <= 10*seconds+perOwner*maxOwners*seconds)
+		is.True(agents <= 2*maxOwners)
+	})
+}
