lib/job: TestShutdownStartsNothing waits until all agents are full

As it came, it failed once in the unit tests at load 35: after a fixed second of real time no job had been started yet (375 != 400). It now waits for the state that it means, with 20 agents and 200 jobs in place of 76 and 400, which need not be watched in parts.

--- a/lib/job/dispatcher_test.go
+++ b/lib/job/dispatcher_test.go
@@ -368,26 +368,49 @@
 func TestShutdownStartsNothing(t *testing.T) {
 	is := is.New(t)
 	var agents []*fakeAgent
-	for i := range 76 {
+	for i := range 20 {
 		agents = append(agents, newFakeAgent(fmt.Sprintf("a%d", i), 8000, doneAfter(time.Minute)))
 	}
 	d := newTestDispatcher(t, agents...)
-	time.Sleep(time.Second) // all agents have answered
+	count := func(f func() int) int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return f()
+	}
+	waitUntil := func(isTrue func() bool) {
+		for until := time.Now().Add(30 * time.Second); !isTrue() && time.Now().Before(until); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(isTrue())
+	}
+	waitUntil(func() bool {
+		return count(func() (n int) {
+			for _, l := range d.links {
+				if l.isUsable(d.clock.Now()) {
+					n++
+				}
+			}
+			return n
+		}) == len(agents)
+	})
 	var outs []chan Outcome
-	for i := range 400 {
+	for i := range 200 {
 		j := newJob(fmt.Sprintf("j%d", i), 4)
 		j.Kind, j.Deadline, j.Steps[0].Estimate = &wire.Kind{Name: "long"}, time.Now().Add(time.Hour), time.Minute
 		outs = append(outs, submit(t.Context(), d, j))
 	}
-	time.Sleep(time.Second)
-	d.mu.Lock()
-	waiting := 400 - len(d.jobs) // are refused already
-	for _, job := range d.jobs {
-		if job.hasNotRun() {
-			waiting++
-		}
-	}
-	d.mu.Unlock()
+	waiting := len(outs) - 2*len(agents) // each has room for two jobs
+	waitUntil(func() bool {
+		return count(func() int {
+			n := len(outs) - len(d.jobs) // are refused already
+			for _, job := range d.jobs {
+				if job.hasNotRun() {
+					n++
+				}
+			}
+			return n
+		}) == waiting
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	began := time.Now()
