lib/process: requests that a shutdown has no time for are ended, not cut off

Cause: nothing told the handlers; the contexts of requests know only of the connection. Evidence: TestShutdownEndsRequests, without the change: unexpected EOF. Change: when its time is over, Shutdown ends the contexts of the requests in flight and waits up to 150 ms for their answers, within the part of the grace period that programs leave for it. It says how many got none.

--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -25,6 +25,9 @@
 	lingerTime = 300 * time.Millisecond
 	// lingerInterval is how often the connections are checked meanwhile.
 	lingerInterval = 5 * time.Millisecond
+	// answerTime bounds how long requests have to be answered whose context was ended,
+	// as the time for the shutdown is over.
+	answerTime = 150 * time.Millisecond
 )
 
 // Server is an HTTP server on one address. It speaks HTTP/1.1 only: processes call
@@ -36,6 +39,8 @@
 	// ownLimiter is nil if the limits are those of the process.
 	ownLimiter *Limiter
 	log        *slog.Logger
+	// endRequests ends the contexts of all requests.
+	endRequests context.CancelFunc
 	// closing is set once a graceful shutdown has begun.
 	closing atomic.Bool
 	done    chan struct{}
@@ -86,10 +91,12 @@
 }
 
 func newServer(listener net.Listener, h http.Handler, limiter *Limiter, address *AddressLimits, log *slog.Logger) *Server {
+	requests, endRequests := context.WithCancel(context.Background())
 	s := &Server{
 		listener:    &limitedListener{listener, limiter, address},
 		connections: newConnections(),
 		log:         log,
+		endRequests: endRequests,
 		done:        make(chan struct{}),
 	}
 	s.server = &http.Server{
@@ -97,6 +104,7 @@
 		MaxHeaderBytes: max(limiter.limits.MaxHeadBytes, maxRaisedHeadBytes), // limitedConn refuses larger heads
 		Protocols:      Protocols(),
 		ConnState:      s.setState,
+		BaseContext:    func(net.Listener) context.Context { return requests },
 		ConnContext:    withConnection,
 		ErrorLog:       stdlog.New(&serverErrors{log: log}, "", 0),
 	}
@@ -124,7 +132,8 @@
 // Shutdown stops accepting connections and waits for requests in flight. Requests
 // that arrive meanwhile on open connections are answered, and each answer asks
 // the caller to close its connection. Connections without a request are kept for
-// lingerTime.
+// lingerTime. When ctx ends, the contexts of the requests in flight are ended, and
+// their answers waited for at most answerTime.
 func (s *Server) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, ShutdownTimeout)
 	defer cancel()
@@ -133,11 +142,18 @@
 	<-s.done
 	s.linger(ctx)
 	s.connections.closeUnused()
-	if err := s.server.Shutdown(ctx); err != nil {
-		busy, _ := s.connections.count()
-		return &Error{Op: "shutdown", Kind: KindTimeout, Err: eris.Wrapf(err, "%d requests still in flight, the oldest for %v", busy, s.connections.oldest())}
+	err := s.server.Shutdown(ctx)
+	if err == nil {
+		return nil
 	}
-	return nil
+	busy, _ := s.connections.count()
+	oldest := s.connections.oldest()
+	s.endRequests()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerTime)
+	defer cancel()
+	_ = s.server.Shutdown(last)
+	unanswered, _ := s.connections.count()
+	return &Error{Op: "shutdown", Kind: KindTimeout, Err: eris.Wrapf(err, "%d requests still in flight, the oldest for %v; %d got no answer", busy, oldest, unanswered)}
 }
 
 // linger returns once no requests are in flight and no connection is left that
@@ -161,6 +177,7 @@
 
 // Close closes all connections immediately.
 func (s *Server) Close() {
+	s.endRequests()
 	_ = s.server.Close()
 	<-s.done
 }
--- a/lib/process/server_test.go
+++ b/lib/process/server_test.go
@@ -95,6 +95,36 @@
 	}
 }
 
+// TestShutdownEndsRequests guards against requests in flight that get no answer, as the
+// time for the shutdown is over and nothing tells their handlers.
+func TestShutdownEndsRequests(t *testing.T) {
+	is := is.New(t)
+	listener, err := Listen("127.0.0.1:0")
+	is.NoErr(err)
+	inFlight := make(chan struct{})
+	server := New(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(inFlight)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}), slog.New(slog.DiscardHandler))
+	c, err := net.Dial("tcp", server.Address())
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	<-inFlight
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	err = server.Shutdown(ctx)
+	server.Close()
+	is.True(err != nil) // it took too long
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.True(response.Close)
+}
+
 // TestShutdownTellsRequestsInFlight guards against a shutdown that cuts off requests and
 // leaves no trace of how many there were and how long they took.
 func TestShutdownTellsRequestsInFlight(t *testing.T) {
