lib/process: a request that waits for memory is answered when the shutdown's time is over

Cause: the wait knows of its time limit only. Evidence: TestShutdownEndsWaitForMemory, without the change: unexpected EOF. Change: the wait ends with the contexts of the server's requests, and the request is refused as any other without memory. After: the test passes, and lib/process and platform under -race.

--- a/lib/process/limited_conn.go
+++ b/lib/process/limited_conn.go
@@ -63,6 +63,8 @@
 	near bool
 	// cost is charged while the connection is open.
 	cost int64
+	// ending is closed when the server ends the requests in flight.
+	ending <-chan struct{}
 
 	// The next fields are used by Read, which is never called concurrently, and
 	// between requests.
--- a/lib/process/limited_handler.go
+++ b/lib/process/limited_handler.go
@@ -17,6 +17,8 @@
 	limiter *Limiter
 	// address is nil if the limits of the address are those of the process.
 	address *AddressLimits
+	// ending is closed when the server ends the requests in flight.
+	ending <-chan struct{}
 }
 
 // Accept implements net.Listener.
@@ -27,6 +29,7 @@
 			return nil, err
 		}
 		if c := l.limiter.accept(inner, l.address); c != nil {
+			c.ending = l.ending
 			return c.served(), nil
 		}
 	}
--- a/lib/process/limiter.go
+++ b/lib/process/limiter.go
@@ -255,8 +255,8 @@
 // acquire charges a connection n bytes. It closes connections with incomplete
 // requests to make room, and, if the request stays small, idle ones, until this
 // connection would be the next. It then waits for others to return memory, behind those
-// that wait already, at most for patience. It returns false if there is no room, or the
-// connection itself was closed.
+// that wait already, at most for patience and until its server ends. It returns false if
+// there is no room, or the connection itself was closed.
 func (l *Limiter) acquire(c *limitedConn, n int64, patience time.Duration) bool {
 	ok, w, over := l.tryAcquire(c, n)
 	l.abort(over)
@@ -267,6 +267,7 @@
 	defer timer.Stop()
 	select {
 	case <-w.ended:
+	case <-c.ending:
 	case <-timer.C:
 	}
 	l.mu.Lock()
--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -93,7 +93,7 @@
 func newServer(listener net.Listener, h http.Handler, limiter *Limiter, address *AddressLimits, log *slog.Logger) *Server {
 	requests, endRequests := context.WithCancel(context.Background())
 	s := &Server{
-		listener:    &limitedListener{listener, limiter, address},
+		listener:    &limitedListener{listener, limiter, address, requests.Done()},
 		connections: newConnections(),
 		log:         log,
 		endRequests: endRequests,
--- a/lib/process/server_test.go
+++ b/lib/process/server_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"skylarklane.example/lib/wire"
 )
 
 // TestRequestDuringShutdown guards against a request that is read whole and then
@@ -125,6 +129,41 @@
 	is.True(response.Close)
 }
 
+// TestShutdownEndsWaitForMemory guards against a request that gets no answer, as it waits
+// for memory when the time for the shutdown is over.
+func TestShutdownEndsWaitForMemory(t *testing.T) {
+	is := is.New(t)
+	inFlight, release := make(chan struct{}), make(chan struct{})
+	server, limiter := startLimited(t, limitsOf(&wire.ServerLimits{MemoryBytes: minMemoryBytes}), func(w http.ResponseWriter, r *http.Request) {
+		if !Reserve(r, minMemoryBytes/2) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		close(inFlight)
+		<-release
+	})
+	defer close(release)
+	first, second := dialFar(t, server), dialFar(t, server)
+	_, err := first.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	<-inFlight
+	_, err = second.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
+	is.NoErr(err)
+	await(t, "the request waits", func() bool {
+		limiter.mu.Lock()
+		defer limiter.mu.Unlock()
+		return slices.ContainsFunc(limiter.waiting[:], func(queue *list.List) bool { return queue.Len() > 0 })
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	is.True(server.Shutdown(ctx) != nil) // the first request goes on
+	_ = server.server.Close()
+	response, err := http.ReadResponse(bufio.NewReader(second), nil)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+}
+
 // TestShutdownTellsRequestsInFlight guards against a shutdown that cuts off requests and
 // leaves no trace of how many there were and how long they took.
 func TestShutdownTellsRequestsInFlight(t *testing.T) {
