lib/job: an agent that becomes an owner of an id keeps its claim

Found by reading: an agent repeats its claims at owners that come next, but not at itself, so that it granted the id to another entry. TestKeptClaimAtSelf fails before.

--- a/lib/job/kept_claim.go
+++ b/lib/job/kept_claim.go
@@ -38,6 +38,12 @@
 // repeat claims jobs again. Nobody waits for the answers, so that the member does not
 // count as silent if there is none.
 func (a *Asker) repeat(due *dueClaims) {
+	if a.isSelf(due.owner) {
+		for _, id := range due.ids {
+			a.grantHere(id, due.by, nil)
+		}
+		return
+	}
 	p := a.peer(due.owner)
 	if a.isSilent(p) {
 		return
@@ -50,6 +56,8 @@
 	}
 }
 
+// dueKept returns the kept claims that owners don't have yet, by owner and entry, and
+// records that they do.
 func (a *Asker) dueKept() map[[2]memberKey]*dueClaims {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -61,7 +69,7 @@
 		}
 		owners := a.view.owners(hashOf(key.id), ownersPerID)
 		for _, owner := range owners {
-			if contains(c.owners, owner) || a.isSelf(owner) {
+			if contains(c.owners, owner) {
 				continue
 			}
 			at := [2]memberKey{keyOfMember(owner), key.entry}
--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -475,6 +475,28 @@
 	})
 }
 
+// TestKeptClaimAtSelf guards against a claim that is lost where the agent that has made
+// it becomes an owner of the id.
+func TestKeptClaimAtSelf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(time.Second))
+		a := f.addOwner(t, "v")
+		time.Sleep(5 * time.Second)
+		by := f.registries["a"].self
+		for i := range 8 {
+			is.True(a.Claim(t.Context(), fmt.Sprint(i), by))
+		}
+		for _, id := range []string{"x", "y", "z"} {
+			f.set(f.unlisted, id, true)
+		}
+		time.Sleep(3 * viewInterval)
+		for i := range 8 {
+			is.Equal(a.claims.otherHolder(fmt.Sprint(i), f.registries["b"].self, nil).GetAddress(), "a")
+		}
+	})
+}
+
 // TestCopiesAtStart guards against two runs of a job at the same time, where an entry
 // has started with a directory that another has yet to learn.
 func TestCopiesAtStart(t *testing.T) {
