lib/job: agents move the ids of every silent agent

The limit now holds at entries, which it is for, and where both owners of an id are silent all entries are asked, as they were before for other agents.

--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -50,6 +50,8 @@
 	// has too little processor time.
 	grantHere func(id string, by *wire.Member, former *wire.Incarnation) (holder *wire.Member)
 	isLate    func() bool
+	// isEntry is set if this member is an entry, rather than an agent.
+	isEntry bool
 	// ctx ends with Run; calls to other members are made under it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -263,8 +265,7 @@
 }
 
 // updateView reads the directory. Agents that leave or don't answer own no ids. Where
-// many don't, this member is cut off or has no processor time, and the others go on to
-// own theirs.
+// many don't answer an entry, it has no processor time, and the others go on to own theirs.
 func (a *Asker) updateView() {
 	entries, agents := a.entries(), a.owners()
 	a.mu.Lock()
@@ -297,7 +298,7 @@
 	a.listedOwners = newOwnerView(staying, func(*wire.Member) bool { return true })
 	excluded := 0
 	next := newOwnerView(staying, func(m *wire.Member) bool {
-		if a.answers(m) || excluded > len(agents)/8 {
+		if a.answers(m) || a.isEntry && excluded > len(agents)/8 {
 			return true
 		}
 		excluded++
@@ -353,7 +354,7 @@
 		n = ownersAtStart
 	}
 	owners = a.view.owners(hash, n)
-	everyone = len(owners) == 0 || now < a.resumedUntil
+	everyone = !slices.ContainsFunc(owners, a.answers) || now < a.resumedUntil
 	for _, view := range a.former {
 		if now >= view.until {
 			continue
--- a/lib/job/registry.go
+++ b/lib/job/registry.go
@@ -42,7 +42,7 @@
 // called to follow changes of the directory.
 func NewRegistry(d *Dispatcher, self *wire.Member, a *Asker) *Registry {
 	g := &Registry{Asker: a, d: d, self: self, indexed: map[string]indexedJob{}}
-	a.grantHere, a.isLate = g.grant, d.isLagging
+	a.grantHere, a.isLate, a.isEntry = g.grant, d.isLagging, true
 	return g
 }
 
