lib/job: in a large fleet, reports of changed capacity wait at the agents

An agent told each entry with a run there of each change of its free capacity, by the answer to a Watch: the runs of all entries change it, so that the number of reports grew with entries x runs.

In a fleet of which an entry watches a part, such a Watch waits 160 ms, and only ends of the entry's own runs, and an agent that begins or ceases to take runs, are told at once.

--- a/lib/job/fake_agent_test.go
+++ b/lib/job/fake_agent_test.go
@@ -255,19 +255,38 @@
 		a.sessions[entry] = latest(a.sessions[entry], earliest(until, asked))
 	}
 	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool { return known && e.GetNumber() <= q.GetEndsSeen() })
-	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.unreportedEnds(entry, q)) == 0
 	a.mu.Unlock()
-	if none {
+	a.awaitNews(ctx, q)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
+		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: a.unreportedEnds(entry, q)}, nil
+}
+
+// awaitNews waits until the entry of a Watch lacks an end or the state of the worker; the
+// latter counts once the delay that the Watch names is over.
+func (a *fakeAgent) awaitNews(ctx context.Context, q *wire.WatchRequest) {
+	over := time.After(time.Duration(q.GetWaitMillis()) * time.Millisecond)
+	delayOver := time.After(min(time.Duration(q.GetStateAfterMillis()), time.Duration(q.GetWaitMillis())) * time.Millisecond)
+	delayed := q.GetStateAfterMillis() > 0
+	for {
+		a.mu.Lock()
+		changed, isNew := a.changed, a.version != q.GetVersionSeen()
+		hasEnds := len(a.unreportedEnds(q.GetEntry().GetId(), q)) > 0
+		a.mu.Unlock()
+		if hasEnds || isNew && !delayed {
+			return
+		}
 		select {
 		case <-changed:
+		case <-delayOver:
+			delayed = false
+		case <-over:
+			return
 		case <-ctx.Done():
-		case <-time.After(time.Duration(q.GetWaitMillis()) * time.Millisecond):
+			return
 		}
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
-		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: a.unreportedEnds(entry, q)}, nil
 }
 
 // unreportedEnds returns the ends that the entry has not been told.
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -12,6 +12,10 @@
 const (
 	// watchWait is how long a Watch waits at the agent for a change.
 	watchWait = 80 * time.Millisecond
+	// largeFleetWait is the same for an agent with runs of this entry in a large
+	// fleet. Reports that only tell a changed capacity wait as long there: all
+	// entries change it, and each would cost all of them a call.
+	largeFleetWait = 160 * time.Millisecond
 	// idlePausePerAgent is the pause between two Watches to an agent without runs
 	// of this entry, for each agent. It bounds the Watches of an entry with many
 	// agents, each of which replies whenever the free capacity changes.
@@ -146,8 +150,11 @@
 		RenewUntilMillis: l.renewUntil(now),
 		StateAfterMillis: placement.StateDelay(d.lag, watchWait).Milliseconds(),
 	}
-	if len(l.runs) == 0 {
+	switch {
+	case len(l.runs) == 0:
 		q.WaitMillis = max(watchWait-d.idlePause(), 0).Milliseconds()
+	case d.watchesPart():
+		q.WaitMillis, q.StateAfterMillis = largeFleetWait.Milliseconds(), largeFleetWait.Milliseconds()
 	}
 	if l.failing || l.isSilent(now) {
 		q.WaitMillis = 0
--- a/lib/job/watched.go
+++ b/lib/job/watched.go
@@ -43,6 +43,10 @@
 	return l.watched
 }
 
+// watchesPart reports whether the fleet is so large that only a part of the agents is
+// watched.
+func (d *Dispatcher) watchesPart() bool { return len(d.links) > watchLimits.All }
+
 // updateWatched decides which agents are watched.
 func (d *Dispatcher) updateWatched(now time.Duration) {
 	agents := make([]placement.Watchable, len(d.ranked))
@@ -102,7 +106,7 @@
 // watchMore watches further agents whose worker suits the requirements, up to
 // limit in all, because none of those watched can run the task now.
 func (d *Dispatcher) watchMore(service string, r placement.Requirements, limit int, now time.Duration) {
-	if len(d.links) <= watchLimits.All || now-d.neededAt[service] < watchMoreInterval {
+	if !d.watchesPart() || now-d.neededAt[service] < watchMoreInterval {
 		return
 	}
 	d.neededAt[service] = now
--- a/lib/job/watched_test.go
+++ b/lib/job/watched_test.go
@@ -118,6 +118,44 @@
 	}
 }
 
+// TestReportsInLargeFleet guards against entries and agents of a large fleet that spend
+// their processors on reports of changed capacity: an agent's runs of all entries change
+// it, and each entry with a run there was told each time.
+func TestReportsInLargeFleet(t *testing.T) {
+	// maxReports is how many reports of an agent an entry with a run there gets in a
+	// second at most, besides those of its own ends.
+	const maxReports = 10
+	withFleet(t, func(f *fleet) {
+		for _, a := range f.agents {
+			a.set(func() { a.behave = doneAfter(5 * time.Second) })
+		}
+		j := newJob("j", 8)
+		j.Steps[0].Estimate = 5 * time.Second
+		j.Received, j.Deadline = time.Now(), time.Now().Add(20*time.Second)
+		out := submit(f.t.Context(), f.d, j)
+		time.Sleep(500 * time.Millisecond)
+		var running []*fakeAgent
+		for _, a := range f.agents {
+			a.set(func() {
+				if len(a.runs) > 0 {
+					running = append(running, a)
+				}
+			})
+		}
+		before := watches(running)
+		for range 100 {
+			for _, a := range running {
+				a.set(func() {}) // another entry's run begins or ends
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		n := watches(running) - before
+		t.Logf("%d reports of %d agents in a second", n, len(running))
+		f.True(len(running) > 0 && n <= maxReports*len(running))
+		f.Equal((<-out).State, Complete)
+	})
+}
+
 // TestPlacementInLargeFleet guards against an entry that refuses or delays a job
 // because the workers that suit it are not among those that it watches.
 func TestPlacementInLargeFleet(t *testing.T) {
