lib/job: the number of looks of an entry does not grow with the fleet

An entry asked each agent that it does not watch each 10 s, over a connection of its own: 60 entries of a fleet of 240 agents opened 1,140 connections a second by arithmetic, at rest and under load. From 100 agents on the interval now grows with their number, so that an entry looks at some 10 agents a second; an agent that the directory lists under another incarnation is looked at at once, so that a restart is known sooner than before.

--- a/lib/job/fake_agent_test.go
+++ b/lib/job/fake_agent_test.go
@@ -29,6 +29,8 @@
 	fault func(agent, method string) (delayed time.Duration, lost bool)
 	// unlisted is the agent that the directory does not list; empty for none.
 	unlisted atomic.Value
+	// relisted holds, by id, the agents that are listed in another way than at first.
+	relisted sync.Map
 	// skipped is by how many nanoseconds the clocks of the dispatchers have
 	// skipped ahead, as they do while their process is suspended.
 	skipped atomic.Int64
@@ -59,7 +61,13 @@
 
 // listed returns the members that the directory lists.
 func (n *network) listed(members []*wire.Member) []*wire.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetIncarnation().GetId() == n.unlisted.Load() })
+	listed := slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetIncarnation().GetId() == n.unlisted.Load() })
+	for i, m := range listed {
+		if other, found := n.relisted.Load(m.GetIncarnation().GetId()); found {
+			listed[i] = other.(*wire.Member)
+		}
+	}
+	return listed
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -194,6 +195,9 @@
 // own.
 func (l *link) setMember(member *wire.Member) {
 	if l.runner != nil && l.member.GetAddress() == member.GetAddress() {
+		if !wire.Same(l.member.GetIncarnation(), member.GetIncarnation()) && !l.watched {
+			time.AfterFunc(rand.N(firstLookDelay), l.wake) // its worker may be another one, too
+		}
 		l.member = member
 		return
 	}
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -25,9 +25,11 @@
 	maxIdlePause = 240 * time.Millisecond
 	// watchSlack is added to the wait of a Watch to obtain the timeout of the call.
 	watchSlack = 160 * time.Millisecond
-	// lookInterval is the mean time between two Watches to an agent that is not
-	// watched. They tell its service, capacity and speed, and open no session.
-	lookInterval = 10 * time.Second
+	// lookInterval is the least mean time between two Watches to an agent that is not
+	// watched, and lookIntervalPerAgent that time for each agent. They tell its service,
+	// capacity and speed, and open no session.
+	lookInterval         = 10 * time.Second
+	lookIntervalPerAgent = 100 * time.Millisecond
 	// failedLookInterval is the same for an agent that did not answer the last one,
 	// or whose worker is about to return from an evacuation.
 	failedLookInterval = time.Second
@@ -108,7 +110,7 @@
 
 // lookPause returns a random pause before the next look at an agent.
 func (l *link) lookPause() time.Duration {
-	mean := lookInterval
+	mean := max(lookInterval, time.Duration(len(l.d.links))*lookIntervalPerAgent)
 	if l.failing || l.isReturning() {
 		mean = failedLookInterval
 	}
--- a/lib/job/watched_test.go
+++ b/lib/job/watched_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"skylarklane.example/lib/capacity"
+	"skylarklane.example/lib/wire"
 )
 
 const (
@@ -118,6 +120,33 @@
 	}
 }
 
+// TestLooksInLargeFleet guards against looks that grow with entries x agents: each takes
+// a connection of its own. An agent that has restarted is looked at at once.
+func TestLooksInLargeFleet(t *testing.T) {
+	const (
+		seconds = 20
+		// maxLooks is how many agents an entry looks at in a second at most.
+		maxLooks = 12
+	)
+	withFleet(t, func(f *fleet) {
+		watched := f.watched()
+		others := slices.DeleteFunc(slices.Clone(f.agents), func(a *fakeAgent) bool { return slices.Contains(watched, a) })
+		before := watches(others)
+		time.Sleep(seconds * time.Second)
+		n := watches(others) - before
+		t.Logf("%d looks at %d agents in %d s", n, len(others), seconds)
+		f.True(n <= maxLooks*seconds)
+
+		restarted := others[:3]
+		before = watches(restarted)
+		for _, a := range restarted {
+			f.n.relisted.Store(a.id, &wire.Member{Incarnation: &wire.Incarnation{Id: a.id, Number: 2}, Role: wire.Role_ROLE_AGENT, Address: a.id, DataCentre: a.dataCentre})
+		}
+		time.Sleep(directoryInterval + firstLookDelay)
+		f.True(watches(restarted)-before >= len(restarted))
+	})
+}
+
 // TestReportsInLargeFleet guards against entries and agents of a large fleet that spend
 // their processors on reports of changed capacity: an agent's runs of all entries change
 // it, and each entry with a run there was told each time.
