lib/lease: sessions are checked when the first may have ended

A renewal only puts the end of a session off, so nothing has to be checked before the earliest end that was found last.

--- a/lib/lease/expire.go
+++ b/lib/lease/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 
 	"skylarklane.example/lib/event"
 )
@@ -12,9 +13,17 @@
 func (m *Manager) expireSessions() {
 	m.applyRaise()
 	now := m.cfg.Clock.Now()
+	if now < m.nextExpiry {
+		return
+	}
+	m.nextExpiry = math.MaxInt64
 	for _, s := range m.sessions {
-		if s.alive && now >= s.until {
+		switch {
+		case !s.alive:
+		case now >= s.until:
 			m.closeSession(s, "sessionEnd")
+		default:
+			m.nextExpiry = min(m.nextExpiry, s.until)
 		}
 	}
 }
