lib/job: in a large fleet, agents with runs are asked as often as those without

A Watch to an agent with runs of the entry now waits as long as the pause between two others, 240 ms: both renew the session of 800 ms in time, and ends are told at once.

--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -15,7 +15,7 @@
 	// largeFleetWait is the same for an agent with runs of this entry in a large
 	// fleet. Reports that only tell a changed capacity wait as long there: all
 	// entries change it, and each would cost all of them a call.
-	largeFleetWait = 160 * time.Millisecond
+	largeFleetWait = maxIdlePause
 	// idlePausePerAgent is the pause between two Watches to an agent without runs
 	// of this entry, for each agent. It bounds the Watches of an entry with many
 	// agents, each of which replies whenever the free capacity changes.
