lib/clock: the periodic works of a process share its wake-ups

A process at rest woke for each of its periodic works at a time of its own: an entry 75 times a second (its tick each 20 ms, claims twice, the limiter, the settings), an agent 26 times besides its holds. With 300 processes each wake-up finds its processor's caches cold.

All wait for the next multiple of their interval now, with a phase that differs by process; an entry without jobs ticks each 50 ms. A Watch to an idle agent computes the state of the worker, as its last tick may be 100 ms old: TestWorkerThatComesInEvacuation saw that once the tick had no longer a fixed phase.

TestUntilNext: the loops of four intervals wake at the times of the shortest one.

--- a/lib/job/admit.go
+++ b/lib/job/admit.go
@@ -204,6 +204,7 @@
 	job.sequence = d.sequence
 	d.setExpectations(job, now)
 	d.jobs[job.ID] = job
+	d.endIdle()
 	d.demandAt[job.Service] = now
 	d.logReceived(job)
 	if d.workersChanged {
--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -104,13 +104,14 @@
 }
 
 func (a *Asker) loop(ctx context.Context) {
-	ticker := time.NewTicker(viewInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.UntilNext(viewInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.UntilNext(viewInterval))
 			a.updateView()
 			a.probe()
 		}
--- a/lib/job/dispatcher.go
+++ b/lib/job/dispatcher.go
@@ -19,6 +19,8 @@
 	// tickInterval is how often deadlines and unresponsive agents are
 	// checked.
 	tickInterval = 20 * time.Millisecond
+	// idleTickInterval is the same while there are no jobs.
+	idleTickInterval = 50 * time.Millisecond
 	// suspensionThreshold is the time without a tick from which the process
 	// counts as having been suspended.
 	suspensionThreshold = 250 * time.Millisecond
@@ -132,8 +134,12 @@
 	// accepted.
 	durableJobs *DurableManager
 	sequence    uint64
-	// lastTickAt is the time of the last tick.
-	lastTickAt time.Duration
+	// lastTickAt is the time of the last tick, and tickWait the longest time until the
+	// next one in which it is not late.
+	lastTickAt, tickWait time.Duration
+	// idle is set while there are no jobs; idleEnded shortens the time until the next tick.
+	idle      bool
+	idleEnded chan struct{}
 	// lag is the mean by which ticks were late lately.
 	lag time.Duration
 	// noStartsBefore defers starts for a moment after a suspension of the
@@ -178,6 +184,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		stopped:      make(chan struct{}),
+		idleEnded:    make(chan struct{}, 1),
 		links:        map[string]*link{},
 		evacuated:    map[string]bool{},
 		demandAt:     map[string]time.Duration{},
@@ -191,6 +198,7 @@
 		claiming:     map[string][]*claiming{},
 		history:      admission.NewHistory(),
 		lastTickAt:   c.Now(),
+		tickWait:     tickInterval,
 	}
 }
 
--- a/lib/job/registry.go
+++ b/lib/job/registry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/wire"
 )
 
@@ -57,13 +58,14 @@
 
 // repeatLoop repeats the claims of open jobs.
 func (g *Registry) repeatLoop(ctx context.Context) {
-	ticker := time.NewTicker(viewInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.UntilNext(viewInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.UntilNext(viewInterval))
 			g.reclaim()
 		}
 	}
--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/event"
 	"skylarklane.example/lib/wire"
 )
@@ -26,20 +27,23 @@
 
 // loop runs the periodic work until ctx ends.
 func (d *Dispatcher) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	linksUpdatedAt := time.Duration(-directoryInterval)
 	for {
-		if now := d.clock.Now(); now-linksUpdatedAt >= directoryInterval {
-			linksUpdatedAt = now
-			d.updateLinks(d.agents())
-		}
-		d.tick()
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-d.idleEnded:
+			timer.Reset(clock.UntilNext(tickInterval))
+			continue
+		case <-timer.C:
 		}
+		if now := d.clock.Now(); now-linksUpdatedAt > directoryInterval-tickInterval {
+			linksUpdatedAt = now
+			d.updateLinks(d.agents())
+		}
+		timer.Reset(d.tick())
 	}
 }
 
@@ -114,15 +118,15 @@
 }
 
 // tick checks for suspensions, deadlines, silent agents and hanging runs, and
-// places or gives up queued jobs.
-func (d *Dispatcher) tick() {
+// places or gives up queued jobs. It returns the time until the next tick.
+func (d *Dispatcher) tick() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	if gap := now - d.lastTickAt; gap > suspensionThreshold {
 		d.resume(gap, now)
 	}
-	d.recordLag(now - d.lastTickAt)
+	d.recordLag(now - d.lastTickAt - d.tickWait + tickInterval)
 	d.lastTickAt = now
 	for _, l := range d.links {
 		d.tickLink(l, now)
@@ -135,6 +139,28 @@
 	d.evictEndedJobs(now)
 	d.metrics.queued.Update(float64(len(d.queue)))
 	d.metrics.open.Update(float64(len(d.jobs)))
+	return d.scheduleTick()
+}
+
+// scheduleTick returns the time until the next tick.
+func (d *Dispatcher) scheduleTick() time.Duration {
+	d.idle, d.tickWait = len(d.jobs) == 0, tickInterval
+	if d.idle {
+		d.tickWait = idleTickInterval
+	}
+	return clock.UntilNext(d.tickWait)
+}
+
+// endIdle has ticks come at short intervals, for a job that has come.
+func (d *Dispatcher) endIdle() {
+	if !d.idle {
+		return
+	}
+	d.idle = false
+	select {
+	case d.idleEnded <- struct{}{}:
+	default:
+	}
 }
 
 // lagDivisor is the inverse of the weight of the newest tick in the mean lag.
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -34,6 +34,8 @@
 	retired      []*incarnation
 	retiredNames []string
 	sessions     map[sessionKey]*session
+	// nextExpiry is when the first open session ends, unless it has been renewed since.
+	nextExpiry   time.Duration
 	shuttingDown bool
 	// rejected is the last announcement that was ignored because it does not
 	// belong to a later incarnation than the current one.
@@ -104,16 +106,16 @@
 }
 
 func (m *Manager) loop(ctx context.Context) {
-	timer := time.NewTimer(tickInterval)
+	timer := time.NewTimer(clock.UntilNext(tickInterval))
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.idleEnded:
-			timer.Reset(tickInterval)
+			timer.Reset(clock.UntilNext(tickInterval))
 		case <-timer.C:
-			timer.Reset(m.tick())
+			timer.Reset(clock.UntilNext(m.tick()))
 		}
 	}
 }
--- a/lib/lease/renew.go
+++ b/lib/lease/renew.go
@@ -17,6 +17,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.expireSessions()
+	if m.idle { // the last tick may be long ago
+		m.refreshState()
+	}
 	s := m.sessionFor(q.GetEntry())
 	now := m.cfg.Clock.Now()
 	sameAgent := wire.Same(q.GetAgent(), m.cfg.Agent)
@@ -57,6 +60,7 @@
 	}
 	s.alive = true
 	s.until = until
+	m.nextExpiry = min(m.nextExpiry, until)
 	s.renewedAt = m.cfg.Clock.Now()
 	m.logSession(event.SessionStarted, s)
 	return nil
--- a/lib/process/limiter.go
+++ b/lib/process/limiter.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/metric"
 )
 
@@ -157,13 +158,14 @@
 
 // run checks the time limits until ctx ends.
 func (l *Limiter) run(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(clock.UntilNext(sweepInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case now := <-timer.C:
+			timer.Reset(clock.UntilNext(sweepInterval))
 			l.updatePeers()
 			l.sweep(now)
 		}
