lib/job: an entry without jobs watches fewer agents, and sooner

Now 8 agents, from 3 s after the last job on; a job that finds no room there has 16 more watched at once, as before.

--- a/lib/job/watched.go
+++ b/lib/job/watched.go
@@ -13,7 +13,7 @@
 
 const (
 	// demandRetention is how long after its last job a service counts as busy.
-	demandRetention = 10 * time.Second
+	demandRetention = 3 * time.Second
 	// neededRetention is how long an agent is watched beyond the usual number.
 	neededRetention = 5 * time.Second
 	// watchMoreInterval is the time between two increases of the number of watched
@@ -27,7 +27,7 @@
 )
 
 // watchLimits bound the agents that an entry watches.
-var watchLimits = placement.WatchLimits{All: 72, Busy: 32, Idle: 12, Pressed: 96}
+var watchLimits = placement.WatchLimits{All: 72, Busy: 32, Idle: 8, Pressed: 96}
 
 // rankOf returns the preference of an entry for watching an agent. Entries
 // prefer different agents.
