lib/lease: an agent with runs wakes when something may have changed

It now ticks so only while a session or the time for the worker's answer may end before the next slow tick, 100 ms later, and the directory says itself when it has changed (Config.EvacuationChanged; without it, evacuations are polled as before).

--- a/lib/lease/config.go
+++ b/lib/lease/config.go
@@ -33,6 +33,9 @@
 	// run is started; runs that the worker has confirmed go on. A nil func means
 	// that it never is.
 	Evacuated func() bool
+	// EvacuationChanged returns a channel that is closed when Evacuated may report
+	// something else. If it is nil, Evacuated is polled.
+	EvacuationChanged func() <-chan struct{}
 	// Claim claims a job for an entry, and reports whether no other entry has it. It is
 	// called before a run of a launch with a claimant is started.
 	Claim func(ctx context.Context, job string, claimant *wire.Member) bool
--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -108,18 +108,30 @@
 func (m *Manager) loop(ctx context.Context) {
 	timer := time.NewTimer(clock.UntilNext(tickInterval))
 	defer timer.Stop()
+	evacuationChanged := m.evacuationChanged()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-m.idleEnded:
 			timer.Reset(clock.UntilNext(tickInterval))
+		case <-evacuationChanged:
+			evacuationChanged = m.evacuationChanged()
+			m.tick()
 		case <-timer.C:
 			timer.Reset(clock.UntilNext(m.tick()))
 		}
 	}
 }
 
+// evacuationChanged returns the channel of Config.EvacuationChanged, nil if there is none.
+func (m *Manager) evacuationChanged() <-chan struct{} {
+	if m.cfg.EvacuationChanged == nil {
+		return nil
+	}
+	return m.cfg.EvacuationChanged()
+}
+
 // tick processes what has changed with time, and returns the time until the next tick.
 func (m *Manager) tick() time.Duration {
 	m.mu.Lock()
@@ -141,7 +153,14 @@
 
 // isBusy reports whether runs or entries depend on the next tick.
 func (m *Manager) isBusy() bool {
-	return m.watches > 0 || m.shuttingDown || len(m.retired) > 0 || m.runCountLocked()+m.queuedCountLocked() > 0
+	now := m.cfg.Clock.Now()
+	return m.watches > 0 && m.cfg.EvacuationChanged == nil || m.shuttingDown || len(m.retired) > 0 ||
+		m.runCountLocked()+m.queuedCountLocked() > 0 && (m.nextExpiry < now+idleTickInterval || m.isLate(m.incarnation))
+}
+
+// isLate reports whether the worker's answer is overdue.
+func (m *Manager) isLate(inc *incarnation) bool {
+	return inc != nil && m.monotonic() > inc.repliedAt+m.cfg.SilenceTimeout-idleTickInterval
 }
 
 // endIdle shortens the time until the next tick if something depends on it from now on.
--- a/lib/lease/manager_test.go
+++ b/lib/lease/manager_test.go
@@ -62,21 +62,23 @@
 
 // withoutWorker runs f with a manager to which no worker is announced.
 func withoutWorker(t *testing.T, f func(d *driver)) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDriver(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			d.manager.Run(ctx)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
-		synctest.Wait()
-		f(d)
-	})
+	synctest.Test(t, func(t *testing.T) { newDriver(t).run(t.Context(), f) })
+}
+
+// run runs f while the manager runs.
+func (d *driver) run(ctx context.Context, f func(d *driver)) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.manager.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	synctest.Wait()
+	f(d)
 }
 
 func newDriver(t testing.TB) *driver {
