--- a/lib/job/fake_agent_test.go
+++ b/lib/job/fake_agent_test.go
@@ -29,6 +29,8 @@
 	fault func(agent, method string) (delayed time.Duration, lost bool)
 	// unlisted is the agent that the directory does not list; empty for none.
 	unlisted atomic.Value
+	// relisted holds, by id, the agents that are listed in another way than at first.
+	relisted sync.Map
 	// skipped is by how many nanoseconds the clocks of the dispatchers have
 	// skipped ahead, as they do while their process is suspended.
 	skipped atomic.Int64
@@ -59,7 +61,13 @@
 
 // listed returns the members that the directory lists.
 func (n *network) listed(members []*wire.Member) []*wire.Member {
-	return slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetIncarnation().GetId() == n.unlisted.Load() })
+	listed := slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetIncarnation().GetId() == n.unlisted.Load() })
+	for i, m := range listed {
+		if other, found := n.relisted.Load(m.GetIncarnation().GetId()); found {
+			listed[i] = other.(*wire.Member)
+		}
+	}
+	return listed
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -255,19 +263,38 @@
 		a.sessions[entry] = latest(a.sessions[entry], earliest(until, asked))
 	}
 	a.ends[entry] = slices.DeleteFunc(a.ends[entry], func(e *wire.RunEnd) bool { return known && e.GetNumber() <= q.GetEndsSeen() })
-	changed, none := a.changed, a.version == q.GetVersionSeen() && len(a.unreportedEnds(entry, q)) == 0
 	a.mu.Unlock()
-	if none {
+	a.awaitNews(ctx, q)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
+		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: a.unreportedEnds(entry, q)}, nil
+}
+
+// awaitNews waits until the entry of a Watch lacks an end or the state of the worker; the
+// latter counts once the delay that the Watch names is over.
+func (a *fakeAgent) awaitNews(ctx context.Context, q *wire.WatchRequest) {
+	over := time.After(time.Duration(q.GetWaitMillis()) * time.Millisecond)
+	delayOver := time.After(min(time.Duration(q.GetStateAfterMillis()), time.Duration(q.GetWaitMillis())) * time.Millisecond)
+	delayed := q.GetStateAfterMillis() > 0
+	for {
+		a.mu.Lock()
+		changed, isNew := a.changed, a.version != q.GetVersionSeen()
+		hasEnds := len(a.unreportedEnds(q.GetEntry().GetId(), q)) > 0
+		a.mu.Unlock()
+		if hasEnds || isNew && !delayed {
+			return
+		}
 		select {
 		case <-changed:
+		case <-delayOver:
+			delayed = false
+		case <-over:
+			return
 		case <-ctx.Done():
-		case <-time.After(time.Duration(q.GetWaitMillis()) * time.Millisecond):
+			return
 		}
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return &wire.WatchReply{Agent: &wire.Incarnation{Id: a.id, Number: a.number}, ClockMillis: a.millis(time.Now()),
-		SessionUntilMillis: a.millis(a.sessions[entry]), Worker: a.state(), Ends: a.unreportedEnds(entry, q)}, nil
 }
 
 // unreportedEnds returns the ends that the entry has not been told.
