--- a/lib/lease/manager.go
+++ b/lib/lease/manager.go
@@ -154,8 +154,8 @@
 // isBusy reports whether runs or entries depend on the next tick.
 func (m *Manager) isBusy() bool {
 	now := m.cfg.Clock.Now()
-	return m.watches > 0 && m.cfg.EvacuationChanged == nil || m.shuttingDown || len(m.retired) > 0 ||
-		m.runCountLocked()+m.queuedCountLocked() > 0 && (m.nextExpiry < now+idleTickInterval || m.isLate(m.incarnation))
+	return m.watches > 0 && m.cfg.EvacuationChanged == nil || m.shuttingDown || len(m.retired) > 0 || m.queuedCountLocked() > 0 ||
+		m.runCountLocked() > 0 && (m.nextExpiry < now+idleTickInterval || m.isLate(m.incarnation))
 }
 
 // isLate reports whether the worker's answer is overdue.
