lib/job: an entry waits for news of runs at a restarted agent instead of asking without pause

Callers saw nothing but an entry and an agent without processor time: while the runs of an agent's earlier start have not been reported as ended, the entry calls Watch again at once, and in a fleet of 40 agents or more the call didn't wait at the agent either, as an agent without runs of the present start counted as idle. The two exchange calls as fast as they can, until the agent has a cleared worker: for as long as the worker is away, also after the job has been answered.

On the fake network, with a latency of 1 ms each way, one run and a fleet of 49 to 240 agents make 500 calls a second to this agent (12 before the restart; 15 in a fleet of 8), as many as the latency allows.

Such an agent is waited for as one with runs. The row of TestWatchesOfLargeFleet failed before: 1,361 calls a second, 600 allowed; 522 now, which are the changes of the agents that the test makes.

--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -146,7 +146,7 @@
 		RenewUntilMillis: l.renewUntil(now),
 		StateAfterMillis: placement.StateDelay(d.lag, watchWait).Milliseconds(),
 	}
-	if len(l.runs) == 0 {
+	if len(l.runs)+len(l.orphans) == 0 {
 		q.WaitMillis = max(watchWait-d.idlePause(), 0).Milliseconds()
 	}
 	if l.failing || l.isSilent(now) {
--- a/lib/job/watched_test.go
+++ b/lib/job/watched_test.go
@@ -90,6 +90,15 @@
 			}
 			f.submit(newJob("j", 8))
 		}, maxWatchesPerSecond},
+		{"after agents were restarted", func(f *fleet) { // until they report that the runs have ended
+			j := newJob("j", 8)
+			go f.d.Submit(f.t.Context(), j)
+			time.Sleep(10 * time.Millisecond)
+			for _, a := range f.agents {
+				a.restart(2 * time.Second)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}, maxWatchesPerSecond},
 		{"after all were full", func(f *fleet) {
 			for _, a := range f.agents {
 				a.set(func() { a.free = capacity.Vector{} })
