lib/job: an entry that has answered since its silence began is not taken for lost

Callers: a job whose request reaches two entries runs at both at a time. The second entry waits for the outcome at the first; if a call to it is lost (450 ms without an answer, as of an entry short of processor time), and another one 1.3 s or more later, the second entry takes the job over and starts it, though the first has answered in between and runs it still.

Cause: the wait for a lost entry (session and grace, 1.3 s) counts from the first lost call for as long as the entry counts as silent, and that goes on for 2 s at least whatever it answers (minSilence). So the promise, lost at least 1.3 s before, wasn't checked.

The time counts from the last answer now. TestLossesOfHolder failed before: 8 starts in place of 4, with an entry that is away for 0.6 s of each 1.2 s.

--- a/lib/job/peer.go
+++ b/lib/job/peer.go
@@ -31,9 +31,11 @@
 	member   *wire.Member
 	client   *http.Client
 	registry wire.Registry
-	// silent is set while the entry does not answer, since silentSince.
+	// silent is set while the entry does not answer, since silentSince. The last answer
+	// came at answeredAt.
 	silent      bool
 	silentSince time.Duration
+	answeredAt  time.Duration
 	probing     bool
 	usedAt      time.Duration
 }
@@ -105,6 +107,9 @@
 	}
 	a.mu.Lock()
 	now := a.clock.Now()
+	if err == nil {
+		p.answeredAt = now
+	}
 	silence := now - p.silentSince
 	if p.silent && silence < minSilence { // an overloaded member answers now and then
 		a.mu.Unlock()
@@ -145,7 +150,7 @@
 	if !p.silent {
 		return 0
 	}
-	return a.clock.Now() - p.silentSince
+	return a.clock.Now() - max(p.silentSince, p.answeredAt)
 }
 
 // probe asks the peers that are silent whether they answer again, and forgets those
--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -586,3 +586,25 @@
 		ended[one.task] = latest(ended[one.task], one.to)
 	}
 }
+
+// TestLossesOfHolder guards against an entry that runs the job of another one, though
+// that has answered between two calls that were lost.
+func TestLossesOfHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(3*time.Second))
+		first, _ := f.request("a", "j")
+		time.Sleep(100 * time.Millisecond)
+		second, _ := f.request("b", "j")
+		for range 5 {
+			f.set(f.silent, "a", true)
+			time.Sleep(600 * time.Millisecond)
+			f.set(f.silent, "a", false)
+			time.Sleep(600 * time.Millisecond)
+		}
+		is.Equal(<-first, Outcome{State: Complete})
+		is.Equal(<-second, Outcome{State: Complete})
+		is.Equal(f.started(), 4)
+		f.checkOverlaps()
+	})
+}
