--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -153,7 +153,7 @@
 		StateAfterMillis: placement.StateDelay(d.lag, watchWait).Milliseconds(),
 	}
 	switch {
-	case len(l.runs) == 0:
+	case len(l.runs)+len(l.orphans) == 0:
 		q.WaitMillis = max(watchWait-d.idlePause(), 0).Milliseconds()
 	case d.watchesPart():
 		q.WaitMillis, q.StateAfterMillis = largeFleetWait.Milliseconds(), largeFleetWait.Milliseconds()
