--- a/lib/job/watched.go
+++ b/lib/job/watched.go
@@ -27,7 +27,7 @@
 )
 
 // watchLimits bound the agents that an entry watches.
-var watchLimits = placement.WatchLimits{All: 72, Busy: 32, Idle: 8, Pressed: 96}
+var watchLimits = placement.WatchLimits{All: 72, Busy: 24, Idle: 8, Pressed: 96}
 
 // rankOf returns the preference of an entry for watching an agent. Entries
 // prefer different agents.
