--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -127,26 +127,13 @@
 	}
 }
 
-// Claim claims a job for an entry, and reports whether no other entry has it. It waits
-// for the first owner of the id only, unless owners have changed lately; the other one is
-// told if ctx has not ended by then. Until ctx ends, the claim is repeated where the
-// owners change.
+// Claim claims a job for an entry, and reports whether no other entry has it. Until ctx
+// ends, the claim is repeated where the owners of the id change.
 func (a *Asker) Claim(ctx context.Context, id string, by *wire.Member) bool {
-	if holder := a.claims.otherHolder(id, by, nil); holder != nil {
-		return false
-	}
-	if first := a.settledOwner(id); first != nil {
-		if holder, answered := a.askOne(ctx, first, id, by, nil); answered {
-			if holder == nil {
-				a.keep(ctx, id, by, []*wire.Member{first})
-			}
-			return holder == nil
-		}
-	}
 	if a.ask(ctx, id, by, nil) != nil {
 		return false
 	}
-	a.keep(ctx, id, by, a.currentOwners(id))
+	a.keep(ctx, id, by)
 	return true
 }
 
@@ -388,27 +375,6 @@
 	return owners, everyone
 }
 
-// settledOwner returns the first owner of an id, nil while others may know of claims that
-// this one doesn't have.
-func (a *Asker) settledOwner(id string) *wire.Member {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.clock.Now()
-	a.checkSuspension(now)
-	isMoving := slices.ContainsFunc(a.former, func(v formerView) bool { return now < v.until })
-	if isMoving || now < a.startedUntil || now < a.resumedUntil || len(a.view.members) == 0 {
-		return nil
-	}
-	return a.view.owners(hashOf(id), 1)[0]
-}
-
-// currentOwners returns the agents that own an id and answer.
-func (a *Asker) currentOwners(id string) []*wire.Member {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.view.owners(hashOf(id), ownersPerID)
-}
-
 // hasOwners reports whether this member knows of an agent that owns ids.
 func (a *Asker) hasOwners() bool {
 	a.mu.Lock()
--- a/lib/job/kept_claim.go
+++ b/lib/job/kept_claim.go
@@ -2,20 +2,14 @@
 
 import (
 	"context"
-	"time"
 
 	"skylarklane.example/lib/wire"
 )
 
-// backUpAfter is the age from which a claim is repeated at owners that don't have it, so
-// that most jobs have ended before. A copy that comes earlier finds the first owner.
-const backUpAfter = 150 * time.Millisecond
-
 // keptClaim is a claim that a member has made for an entry, which goes on until ctx ends.
 type keptClaim struct {
 	ctx context.Context
 	by  *wire.Member
-	at  time.Duration
 	// owners are those that have it.
 	owners []*wire.Member
 }
@@ -26,14 +20,14 @@
 	entry memberKey
 }
 
-// keep has a claim repeated at owners of its id that don't have it, until ctx ends.
-func (a *Asker) keep(ctx context.Context, id string, by *wire.Member, owners []*wire.Member) {
+// keep has a claim repeated where the owners of its id change, until ctx ends.
+func (a *Asker) keep(ctx context.Context, id string, by *wire.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.kept[keptKey{id, keyOfMember(by)}] = &keptClaim{ctx: ctx, by: by, at: a.clock.Now(), owners: owners}
+	a.kept[keptKey{id, keyOfMember(by)}] = &keptClaim{ctx: ctx, by: by, owners: a.view.owners(hashOf(id), ownersPerID)}
 }
 
-// repeatKept repeats claims at owners that don't have them, and forgets those that have
+// repeatKept repeats the claims whose owners have changed, and forgets those that have
 // ended.
 func (a *Asker) repeatKept() {
 	for _, due := range a.dueKept() {
@@ -68,15 +62,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	due := map[[2]memberKey]*dueClaims{}
-	now := a.clock.Now()
 	for key, c := range a.kept {
 		if c.ctx.Err() != nil {
 			delete(a.kept, key)
 			continue
 		}
-		if now-c.at < backUpAfter {
-			continue
-		}
 		owners := a.view.owners(hashOf(key.id), ownersPerID)
 		for _, owner := range owners {
 			if contains(c.owners, owner) {
