lib/job: a worker is known again as soon as its agent is listed again

Callers: a job is answered as failed for good (neverFits), though a worker suits it, if it arrives within a second after the worker's agent is listed again.

Cause: since workers are recorded each second, and with a job only if one has reported another capacity or other labels. The worker of an agent that is listed no more is forgotten after a minute, while the link to it is kept for its runs. When the agent is listed again its worker reports what it did before, so that nothing had changed.

TestWorkerOfRelistedAgent failed before.

--- a/lib/job/tick.go
+++ b/lib/job/tick.go
@@ -77,6 +77,7 @@
 	}
 	d.unlisted = 0
 	for id, l := range d.links {
+		d.workersChanged = d.workersChanged || l.unlisted && listed[id]
 		l.unlisted = !listed[id]
 		switch {
 		case !l.unlisted:
--- a/lib/job/watched_test.go
+++ b/lib/job/watched_test.go
@@ -210,3 +210,34 @@
 		f.Equal(f.d.totalCapacity("sizing").CPUMillis, int64(4000*fleetSize))
 	})
 }
+
+// TestWorkerOfRelistedAgent guards against a job that fails for good as no worker is known
+// to suit it, though one does whose agent is listed again.
+func TestWorkerOfRelistedAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const lasting = 5 * time.Minute
+		big, small := newFakeAgent("big", 4000, doneAfter(lasting)), newFakeAgent("small", 1000, doneAfter(lasting))
+		d, n := newTestNetwork(t, false, big, small)
+		j := newJob("long", 1)
+		j.Deadline = time.Now().Add(2 * lasting)
+		j.Steps[0].Estimate = lasting
+		j.Steps[0].Need.CpuMillis = 2000
+		submit(t.Context(), d, j)
+		time.Sleep(100 * time.Millisecond)
+		n.unlisted.Store("big") // its link is kept for the run
+		time.Sleep(2 * knownWorkerRetention)
+		n.unlisted.Store("")
+		for i := range 60 {
+			time.Sleep(20 * time.Millisecond)
+			j := newJob(fmt.Sprint(i), 1)
+			j.Steps[0].Need.CpuMillis = 2000
+			j.Deadline = time.Now().Add(time.Second)
+			select {
+			case out := <-submit(t.Context(), d, j):
+				is.True(i < 6 || out.State != Failed) // it may not be listed yet
+			case <-time.After(time.Millisecond):
+			}
+		}
+	})
+}
