--- a/lib/job/dispatcher_test.go
+++ b/lib/job/dispatcher_test.go
@@ -362,6 +362,69 @@
 	})
 }
 
+// TestShutdownStartsNothing guards against jobs that an entry starts in the place of those
+// that it has just stopped at the end of its grace period, so that their callers are told
+// that they have run. Its time is real, as the work of the shutdown takes some.
+func TestShutdownStartsNothing(t *testing.T) {
+	is := is.New(t)
+	var agents []*fakeAgent
+	for i := range 20 {
+		agents = append(agents, newFakeAgent(fmt.Sprintf("a%d", i), 8000, doneAfter(time.Minute)))
+	}
+	d := newTestDispatcher(t, agents...)
+	count := func(f func() int) int {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return f()
+	}
+	waitUntil := func(isTrue func() bool) {
+		for until := time.Now().Add(30 * time.Second); !isTrue() && time.Now().Before(until); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(isTrue())
+	}
+	waitUntil(func() bool {
+		return count(func() (n int) {
+			for _, l := range d.links {
+				if l.isUsable(d.clock.Now()) {
+					n++
+				}
+			}
+			return n
+		}) == len(agents)
+	})
+	var outs []chan Outcome
+	for i := range 200 {
+		j := newJob(fmt.Sprintf("j%d", i), 4)
+		j.Kind, j.Deadline, j.Steps[0].Estimate = &wire.Kind{Name: "long"}, time.Now().Add(time.Hour), time.Minute
+		outs = append(outs, submit(t.Context(), d, j))
+	}
+	waiting := len(outs) - 2*len(agents) // each has room for two jobs
+	waitUntil(func() bool {
+		return count(func() int {
+			n := len(outs) - len(d.jobs) // are refused already
+			for _, job := range d.jobs {
+				if job.hasNotRun() {
+					n++
+				}
+			}
+			return n
+		}) == waiting
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	began := time.Now()
+	d.Shutdown(ctx)
+	notRun := 0
+	for _, out := range outs {
+		if (<-out).State == NotRun {
+			notRun++
+		}
+	}
+	t.Logf("%d jobs are answered within %v", len(outs), time.Since(began))
+	is.Equal(notRun, waiting)
+}
+
 // TestShutdownAnswersResubmission guards against a resubmitted job that gets no
 // answer when its entry ends, because it waits for the runs of the earlier attempt.
 func TestShutdownAnswersResubmission(t *testing.T) {
--- a/lib/job/peer.go
+++ b/lib/job/peer.go
@@ -84,6 +84,9 @@
 	if err != nil && a.clock.Now()-began > acquireTimeout+maxTimerLag { // this process was not running
 		return reply, err
 	}
+	if err != nil && ctx.Err() == nil {
+		a.asked.Inc("noReply")
+	}
 	a.recordAnswer(ctx, p, err)
 	return reply, err
 }
@@ -116,8 +119,8 @@
 		return
 	}
 	changed := p.silent != (err != nil)
-	p.silent = err != nil
 	a.silenceChanged = a.silenceChanged || changed
+	p.silent = err != nil
 	if p.silent && changed {
 		p.silentSince = now
 	}
@@ -163,7 +166,7 @@
 		switch {
 		case !a.listed[key] && now-p.usedAt > peerRetention:
 			delete(a.peers, key)
-		case a.listed[key] && p.silent && !p.probing:
+		case a.listed[key] && p.silent && !p.probing && now-p.silentSince >= minSilence:
 			p.probing = true
 			a.calls.Go(func() { a.probeOne(p) })
 		}
--- a/lib/job/watch.go
+++ b/lib/job/watch.go
@@ -12,6 +12,10 @@
 const (
 	// watchWait is how long a Watch waits at the agent for a change.
 	watchWait = 80 * time.Millisecond
+	// largeFleetWait is the same for an agent with runs of this entry in a large
+	// fleet. Reports that only tell a changed capacity wait as long there: all
+	// entries change it, and each would cost all of them a call.
+	largeFleetWait = maxIdlePause
 	// idlePausePerAgent is the pause between two Watches to an agent without runs
 	// of this entry, for each agent. It bounds the Watches of an entry with many
 	// agents, each of which replies whenever the free capacity changes.
@@ -21,9 +25,11 @@
 	maxIdlePause = 240 * time.Millisecond
 	// watchSlack is added to the wait of a Watch to obtain the timeout of the call.
 	watchSlack = 160 * time.Millisecond
-	// lookInterval is the mean time between two Watches to an agent that is not
-	// watched. They tell its service, capacity and speed, and open no session.
-	lookInterval = 10 * time.Second
+	// lookInterval is the least mean time between two Watches to an agent that is not
+	// watched, and lookIntervalPerAgent that time for each agent. They tell its service,
+	// capacity and speed, and open no session.
+	lookInterval         = 10 * time.Second
+	lookIntervalPerAgent = 100 * time.Millisecond
 	// failedLookInterval is the same for an agent that did not answer the last one,
 	// or whose worker is about to return from an evacuation.
 	failedLookInterval = time.Second
@@ -104,7 +110,7 @@
 
 // lookPause returns a random pause before the next look at an agent.
 func (l *link) lookPause() time.Duration {
-	mean := lookInterval
+	mean := max(lookInterval, time.Duration(len(l.d.links))*lookIntervalPerAgent)
 	if l.failing || l.isReturning() {
 		mean = failedLookInterval
 	}
@@ -146,8 +152,11 @@
 		RenewUntilMillis: l.renewUntil(now),
 		StateAfterMillis: placement.StateDelay(d.lag, watchWait).Milliseconds(),
 	}
-	if len(l.runs)+len(l.orphans) == 0 {
+	switch {
+	case len(l.runs)+len(l.orphans) == 0:
 		q.WaitMillis = max(watchWait-d.idlePause(), 0).Milliseconds()
+	case d.watchesPart():
+		q.WaitMillis, q.StateAfterMillis = largeFleetWait.Milliseconds(), largeFleetWait.Milliseconds()
 	}
 	if l.failing || l.isSilent(now) {
 		q.WaitMillis = 0
--- a/lib/process/limiter.go
+++ b/lib/process/limiter.go
@@ -12,6 +12,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"skylarklane.example/lib/clock"
 	"skylarklane.example/lib/metric"
 )
 
@@ -157,13 +158,14 @@
 
 // run checks the time limits until ctx ends.
 func (l *Limiter) run(ctx context.Context) {
-	tick := time.NewTicker(sweepInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(clock.UntilNext(sweepInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case now := <-timer.C:
+			timer.Reset(clock.UntilNext(sweepInterval))
 			l.updatePeers()
 			l.sweep(now)
 		}
@@ -263,8 +265,8 @@
 // acquire charges a connection n bytes. It closes connections with incomplete
 // requests to make room, and, if the request stays small, idle ones, until this
 // connection would be the next. It then waits for others to return memory, behind those
-// that wait already, at most for patience. It returns false if there is no room, or the
-// connection itself was closed.
+// that wait already, at most for patience and until its server ends. It returns false if
+// there is no room, or the connection itself was closed.
 func (l *Limiter) acquire(c *limitedConn, n int64, patience time.Duration) bool {
 	ok, w, over := l.tryAcquire(c, n)
 	l.abort(over)
@@ -275,6 +277,7 @@
 	defer timer.Stop()
 	select {
 	case <-w.ended:
+	case <-c.ending:
 	case <-timer.C:
 	}
 	l.mu.Lock()
