lib/job: a claim that an agent gives up isn't taken from another agent

Callers: a job whose request reaches two entries at one moment runs at both.

Cause: since an agent whose claim is denied by one owner tells the other owners, which have granted it, that the other entry has the job; before, this happened only where the second owner denied it. An owner holds one claim for all agents of an entry. Where agents disagree on who is silent, one of them may have been granted the claim there already and has started the job: agent p takes the first owner for silent and claims for entry b at the second and third. Agent q claims for entry a: granted by the first, denied by the second. Agent r claims for b at the first and second, is denied by the first, and hands b's claim at the second to a. Agent q asks the second again, and is granted the job, too.

Change: one denial ends a claim, nothing is taken back, nobody is asked again. Two claims that deny each other are decided by their entries, as before (the lower id goes on).

TestClaimByTwoAgents failed before.

--- a/lib/job/asker.go
+++ b/lib/job/asker.go
@@ -25,9 +25,6 @@
 	// too: until every member has learned of the change and entries have repeated their
 	// claims.
 	moveTime = 3 * time.Second
-	// oppositionRetries is how often a member is asked again that denies what the first
-	// owner has granted, each claimPoll.
-	oppositionRetries = 3
 	// startTime is how long a member that has started claims ids at ownersAtStart agents,
 	// and one that was suspended at all entries: until every member has a directory that
 	// is at least as new as its own.
@@ -181,68 +178,29 @@
 
 // vote is the answer of a member to a claim.
 type vote struct {
-	member   *wire.Member
 	holder   *wire.Member
 	answered bool
 }
 
-// decided returns the first answer. Of two claims at a time, it denies the same one to
-// both, rather than each of the two being denied by another member.
-func decided(votes []vote) (v vote) {
-	for _, v = range votes {
-		if v.answered {
-			return v
-		}
-	}
-	return vote{}
-}
-
-// isOpposed reports whether a claim that one member has granted is denied by another.
-func (v vote) isOpposed(votes []vote) bool {
-	return v.answered && v.holder == nil && slices.ContainsFunc(votes, func(v vote) bool { return v.holder != nil })
-}
-
-// askAll claims an id at those of the list that answer, but not at the entry itself. The
-// answer of the first one counts. If another denies what that has granted, it is asked
-// again: the other claim is withdrawn if it was made at the same time. Those that have
-// granted a claim that is denied are told the holder.
+// askAll claims an id at those of the list that answer, but not at the entry itself. Each
+// of them can deny the claim. What the others have granted then is not taken back, as
+// another agent may have been granted the claim of the same entry by them.
 func (a *Asker) askAll(ctx context.Context, asked []*wire.Member, id string, by *wire.Member, former *wire.Incarnation) (holder *wire.Member, answered bool) {
-	var votes []vote
-	for _, m := range asked {
+	var calls sync.WaitGroup
+	votes := make([]vote, len(asked))
+	for i, m := range asked {
 		if !isSame(m, by) {
-			votes = append(votes, vote{member: m})
-		}
-	}
-	a.askEach(ctx, votes, id, by, former, func(vote) bool { return true })
-	for range oppositionRetries {
-		if !decided(votes).isOpposed(votes) {
-			break
+			calls.Go(func() { votes[i].holder, votes[i].answered = a.askOne(ctx, m, id, by, former) })
 		}
-		sleep(ctx, claimPoll)
-		a.askEach(ctx, votes, id, by, former, func(v vote) bool { return v.holder != nil })
 	}
-	first := decided(votes)
-	if first.isOpposed(votes) {
-		first = votes[slices.IndexFunc(votes, func(v vote) bool { return v.holder != nil })]
-	}
-	if first.holder == nil {
-		return nil, first.answered
-	}
-	a.askEach(ctx, votes, id, first.holder, by.GetIncarnation(), func(v vote) bool {
-		return v.answered && v.holder == nil && !isSame(v.member, first.holder)
-	})
-	return first.holder, true
-}
-
-// askEach claims an id at the members that are to be asked, and records their votes.
-func (a *Asker) askEach(ctx context.Context, votes []vote, id string, by *wire.Member, former *wire.Incarnation, isAsked func(vote) bool) {
-	var calls sync.WaitGroup
-	for i := range votes {
-		if v := &votes[i]; isAsked(*v) {
-			calls.Go(func() { v.holder, v.answered = a.askOne(ctx, v.member, id, by, former) })
+	calls.Wait()
+	for _, v := range votes {
+		if v.holder != nil {
+			return v.holder, true
 		}
+		answered = answered || v.answered
 	}
-	calls.Wait()
+	return nil, answered
 }
 
 // lookUp returns the other entry that has claimed a job at an owner of its id, nil if
--- a/lib/job/registry_test.go
+++ b/lib/job/registry_test.go
@@ -746,3 +746,33 @@
 		f.checkOverlaps()
 	})
 }
+
+// TestClaimByTwoAgents guards against a claim that is taken from the entry to which it was
+// granted, as another agent has withdrawn its own for the same entry.
+func TestClaimByTwoAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRegistryFleet(t, doneAfter(500*time.Millisecond))
+		var agents []*Asker
+		for _, id := range []string{"p", "q", "r"} {
+			agents = append(agents, f.addOwner(t, id))
+		}
+		time.Sleep(5 * time.Second)
+		p, q, r := agents[0], agents[1], agents[2]
+		p.mu.Lock()
+		view := p.view
+		p.mu.Unlock()
+		id := "0"
+		for i := 1; slices.ContainsFunc(agents, func(a *Asker) bool { return slices.ContainsFunc(view.owners(hashOf(id), ownersPerID+1), a.isSelf) }); i++ {
+			id = fmt.Sprint(i)
+		}
+		p.recordAnswer(t.Context(), p.peer(view.owners(hashOf(id), 1)[0]), errIncompleteReply) // a call was lost
+		a, b := f.registries["a"].self, f.registries["b"].self
+		is.True(p.Claim(t.Context(), id, b))
+		granted := make(chan bool)
+		go func() { granted <- q.Claim(t.Context(), id, a) }()
+		time.Sleep(3 * time.Millisecond)
+		r.Claim(t.Context(), id, b)
+		is.True(!<-granted)
+	})
+}
