--- a/lib/job/asker_test.go
+++ b/lib/job/asker_test.go
@@ -33,16 +33,17 @@
 	defer a.cancel()
 	is.Equal(testing.AllocsPerRun(10, a.updateView), 0.0)
 
-	owner := a.currentOwners("job")[0]
+	owners := func() []*wire.Member { return a.view.owners(hashOf("job"), ownersPerID) }
+	owner := owners()[0]
 	agents = agents[:0:0]
 	a.updateView()
-	is.Equal(len(a.currentOwners("job")), 0)
+	is.Equal(len(owners()), 0)
 	agents = append(agents, owner)
 	a.updateView()
-	is.Equal(a.currentOwners("job"), agents)
+	is.Equal(owners(), agents)
 	p := a.peer(owner)
 	a.recordAnswer(t.Context(), p, errIncompleteReply)
-	is.Equal(len(a.currentOwners("job")), 0)
+	is.Equal(len(owners()), 0)
 }
 
 func newTestMember(id string) *wire.Member {
