lib/job: an agent in a large fleet is not overdue while its Watch waits

Callers: work waits or is refused though a worker is free, in fleets of 73 to 84 agents.

TestLaunchesToQuietAgent failed before.

--- a/lib/job/link.go
+++ b/lib/job/link.go
@@ -124,7 +124,11 @@
 
 // isStale reports whether the agent's next answer is overdue.
 func (l *link) isStale(now time.Duration) bool {
-	return now-l.answeredAt > max(watchWait, l.d.idlePause())+answerSlack
+	wait := max(watchWait, l.d.idlePause())
+	if l.d.watchesPart() {
+		wait = largeFleetWait
+	}
+	return now-l.answeredAt > wait+answerSlack
 }
 
 // agentMillis returns a lower bound of the agent's clock at now.
--- a/lib/job/watched_test.go
+++ b/lib/job/watched_test.go
@@ -308,3 +308,29 @@
 		}
 	})
 }
+
+// TestLaunchesToQuietAgent guards against an agent with runs that gets no launches, as its
+// next answer counts as overdue while the Watch still waits there.
+func TestLaunchesToQuietAgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var agents []*fakeAgent
+		for i := range watchLimits.All + 1 {
+			agents = append(agents, newFakeAgent(fmt.Sprintf("a%d", i), 4000, doneAfter(time.Minute)))
+		}
+		d, _ := newTestNetwork(t, false, agents...)
+		time.Sleep(2 * time.Second)
+		j := newJob("j", 1)
+		j.Deadline = time.Now().Add(2 * time.Minute)
+		j.Steps[0].Estimate = time.Minute
+		submit(t.Context(), d, j)
+		time.Sleep(500 * time.Millisecond)
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			d.mu.Lock()
+			overdue := slices.ContainsFunc(d.ranked, func(l *link) bool { return len(l.runs) > 0 && !l.mayLaunch(d.clock.Now()) })
+			d.mu.Unlock()
+			is.True(!overdue)
+		}
+	})
+}
