--- a/lib/job/fake_agent_test.go
+++ b/lib/job/fake_agent_test.go
@@ -274,22 +274,28 @@
 // awaitNews waits until the entry of a Watch lacks an end or the state of the worker; the
 // latter counts once the delay that the Watch names is over.
 func (a *fakeAgent) awaitNews(ctx context.Context, q *wire.WatchRequest) {
-	over := time.After(time.Duration(q.GetWaitMillis()) * time.Millisecond)
-	delayOver := time.After(min(time.Duration(q.GetStateAfterMillis()), time.Duration(q.GetWaitMillis())) * time.Millisecond)
-	delayed := q.GetStateAfterMillis() > 0
+	wait := time.Duration(q.GetWaitMillis()) * time.Millisecond
+	over := time.NewTimer(wait)
+	defer over.Stop()
+	var delayOver <-chan time.Time
+	if q.GetStateAfterMillis() > 0 {
+		delay := time.NewTimer(min(time.Duration(q.GetStateAfterMillis())*time.Millisecond, wait))
+		defer delay.Stop()
+		delayOver = delay.C
+	}
 	for {
 		a.mu.Lock()
 		changed, isNew := a.changed, a.version != q.GetVersionSeen()
 		hasEnds := len(a.unreportedEnds(q.GetEntry().GetId(), q)) > 0
 		a.mu.Unlock()
-		if hasEnds || isNew && !delayed {
+		if hasEnds || isNew && delayOver == nil {
 			return
 		}
 		select {
 		case <-changed:
 		case <-delayOver:
-			delayed = false
-		case <-over:
+			delayOver = nil
+		case <-over.C:
 			return
 		case <-ctx.Done():
 			return
