lib/process: a request that has arrived in time is read before its quiet connection is closed

Cause: connections were closed for being idle, and at the end of a shutdown, by the time at which their last request was read. A request that had arrived, and that the process had no processor time to read, was reset with its connection. Evidence: TestUnreadRequestKeepsConnection, with either use of the check taken out: the shutdown does not wait; the connection is closed. Change: before both, the socket is asked whether bytes wait to be read. A client can't hold the connection so, as the bytes are read at once and the usual limits apply.

--- a/lib/process/connections.go
+++ b/lib/process/connections.go
@@ -48,6 +48,18 @@
 	return busy, len(c.states) - busy
 }
 
+// haveUnread reports whether a request may have arrived that the process has not read.
+func (c *connections) haveUnread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.states {
+		if limited := toLimited(conn); limited != nil && state.ConnState != http.StateActive && limited.hasUnread() {
+			return true
+		}
+	}
+	return false
+}
+
 // oldest returns for how long the oldest request has been in flight, 0 if there is none.
 func (c *connections) oldest() time.Duration {
 	c.mu.Lock()
--- a/lib/process/disconnected.go
+++ b/lib/process/disconnected.go
@@ -30,14 +30,34 @@
 	if !ok {
 		return false
 	}
+	n, err := peek(c)
+	return n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EINTR
+}
+
+// peek returns the number of bytes, at most 1, that wait to be read from a connection,
+// and 0 without an error if it was closed by its client.
+func peek(c syscall.Conn) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	gone := false
+	var peekErr error
 	err = raw.Control(func(fd uintptr) {
-		n, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err != nil && err != unix.EAGAIN && err != unix.EINTR
+		n, _, peekErr = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return gone || err != nil
+	if err != nil {
+		return 0, err
+	}
+	return n, peekErr
+}
+
+// hasUnread reports whether bytes of the client wait to be read, as the process has had
+// no processor time since they arrived.
+func (c *limitedConn) hasUnread() bool {
+	socket, ok := c.tcp.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	n, err := peek(socket)
+	return err == nil && n > 0
 }
--- a/lib/process/limiter.go
+++ b/lib/process/limiter.go
@@ -188,12 +188,14 @@
 	l.mu.Lock()
 	var over []*limitedConn
 	for c := range l.conns {
-		if reason := c.overdue(now); reason != "" {
-			l.remove(c, reason)
-			over = append(over, c)
-		} else if c.isSlow(now) {
+		switch reason := c.overdue(now); {
+		case reason == "" && c.isSlow(now):
 			c.since = c.answeringSince
 			l.enqueue(c, classSlow)
+		case reason == "", reason == reasonIdleTimeout && c.hasUnread(): // a request has arrived in time
+		default:
+			l.remove(c, reason)
+			over = append(over, c)
 		}
 	}
 	over = append(over, l.makeRoom()...)
--- a/lib/process/server.go
+++ b/lib/process/server.go
@@ -164,7 +164,7 @@
 	defer tick.Stop()
 	for {
 		busy, quiet := s.connections.count()
-		if busy == 0 && (quiet == 0 || time.Now().After(until)) {
+		if busy == 0 && (quiet == 0 || time.Now().After(until) && !s.connections.haveUnread()) {
 			return
 		}
 		select {
--- a/lib/process/server_test.go
+++ b/lib/process/server_test.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -191,3 +192,46 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "2 requests still in flight, the oldest for "))
 }
+
+// unreadConn returns a connection at a limiter, from which nobody reads, and its client.
+func unreadConn(t *testing.T, l *Limiter) (c *limitedConn, client net.Conn) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	t.Cleanup(func() { client.Close() })
+	inner, err := listener.Accept()
+	is.NoErr(err)
+	c = l.accept(inner, nil)
+	t.Cleanup(func() { c.Close() })
+	return c, client
+}
+
+// TestUnreadRequestKeepsConnection guards against a request that arrived in time and is cut
+// off, as the process closes its quiet connection before it reads it.
+func TestUnreadRequestKeepsConnection(t *testing.T) {
+	for _, arrived := range []bool{true, false} {
+		t.Run(fmt.Sprintf("arrived %v", arrived), func(t *testing.T) {
+			is := is.New(t)
+			l := newTestLimiter(t, NewLimits(nil))
+			c, client := unreadConn(t, l)
+			c.used = true
+			c.end()
+			s := &Server{connections: newConnections()}
+			s.connections.set(c, http.StateIdle)
+			if arrived {
+				_, err := client.Write([]byte("GET / HTTP/1.1\r\n"))
+				is.NoErr(err)
+				await(t, "the request arrives", c.hasUnread)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 2*lingerTime)
+			defer cancel()
+			s.linger(ctx)
+			is.Equal(ctx.Err() != nil, arrived) // the shutdown waits for it
+			l.sweep(time.Now().Add(2 * l.limits.IdleTimeout))
+			is.Equal(c.isClosed(), !arrived)
+		})
+	}
+}
