--- a/lib/job/kept_claim.go
+++ b/lib/job/kept_claim.go
@@ -53,6 +53,7 @@
 	_, err := p.registry.AcquireJobs(ctx, &wire.AcquireJobsRequest{Asked: p.member.GetIncarnation(), Entry: due.by, Keys: due.ids})
 	if err != nil {
 		a.asked.Inc("notRepeated")
+		a.log.Debug("claims were not repeated at an owner", "member", due.owner.GetIncarnation().GetId(), "claims", len(due.ids), "error", err)
 	}
 }
 
